--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+GO ?= go
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
+LDFLAGS = -X github.com/waxwingreel/waxwingreel/command.Version=$(VERSION)
+TOOL = $(GO) tool -modfile=lint/go.mod
+MODULE = github.com/waxwingreel/waxwingreel
+
+.PHONY: all build run test race lint format fuzz release clean
+
+all: build
+
+# The two programs, in bin/.
+build:
+	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+# The main job: a small fleet in one process serves paying and trial callers.
+run: build
+	bin/waxwingreel fleet -s examples/fleet/n1.jsonc -s examples/fleet/n2.jsonc -s examples/fleet/n3.jsonc --ticket examples/fleet/ticket.jsonc
+
+# All tests, with the race detector.
+test:
+	$(GO) vet ./...
+	$(GO) test -race -count=1 -timeout 20m ./...
+
+# Formatter and linters.
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt would change:"; echo "$$unformatted"; exit 1; fi
+	@unordered=$$($(TOOL) goimports -local $(MODULE) -l $$(git ls-files '*.go')); if [ -n "$$unordered" ]; then echo "goimports would change:"; echo "$$unordered"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) errcheck ./...
+	$(TOOL) revive -config lint/revive.toml ./...
+
+format:
+	gofmt -w $$(git ls-files '*.go')
+	$(TOOL) goimports -local $(MODULE) -w $$(git ls-files '*.go')
+
+# A reproducible build: no paths, no build id, the version from git.
+release:
+	CGO_ENABLED=1 $(GO) build -trimpath -buildvcs=false -ldflags '$(LDFLAGS) -buildid=' -o bin/ ./cmd/...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,100 @@
+package burn
+
+import (
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// defaultAnsweredPerMille is the objective where settings name none.
+const defaultAnsweredPerMille = 990
+
+// NodeCounts is one node's part of a report.
+type NodeCounts struct {
+	Node   fleet.NodeID `json:"node"`
+	Counts []Count      `json:"counts"`
+}
+
+// Report is the burn of the whole fleet, as far as its nodes could be asked.
+type Report struct {
+	Lines   []Line         `json:"lines"`
+	Asked   []fleet.NodeID `json:"asked"`
+	Missing []fleet.NodeID `json:"missing"`
+}
+
+// Line is the burn of one series.
+type Line struct {
+	Series            Series      `json:"series"`
+	ObjectivePerMille int64       `json:"objectivePerMille"`
+	Short             WindowCount `json:"short"`
+	Long              WindowCount `json:"long"`
+	// ShortBurn and LongBurn are the shares of bad requests over the share
+	// that the objective allows.
+	ShortBurn float64 `json:"shortBurn"`
+	LongBurn  float64 `json:"longBurn"`
+	// LeftPerMille is what is left of the long window's error budget.
+	LeftPerMille int64        `json:"leftPerMille"`
+	Causes       []CauseCount `json:"causes,omitempty"`
+}
+
+// Merge adds up the nodes' counts.
+func Merge(nodes []NodeCounts, missing []fleet.NodeID, objectives []Objective) Report {
+	report := Report{Missing: missing}
+	sums := map[Series]*Count{}
+	for _, node := range nodes {
+		report.Asked = append(report.Asked, node.Node)
+		for _, count := range node.Counts {
+			addCount(sums, count)
+		}
+	}
+	var counts []Count
+	for _, count := range sums {
+		counts = append(counts, *count)
+	}
+	sortCounts(counts)
+	for _, count := range counts {
+		report.Lines = append(report.Lines, line(count, objectives))
+	}
+	return report
+}
+
+func addCount(sums map[Series]*Count, count Count) {
+	sum, ok := sums[count.Series]
+	if !ok {
+		sums[count.Series] = &count
+		return
+	}
+	sum.Short.add(count.Short.Total, count.Short.Bad)
+	sum.Long.add(count.Long.Total, count.Long.Bad)
+	causes := map[Cause]int{}
+	for _, c := range append(sum.Causes, count.Causes...) {
+		causes[c.Cause] += c.Count
+	}
+	sum.Causes = sortCauses(causes)
+}
+
+func line(count Count, objectives []Objective) Line {
+	objective := int64(defaultAnsweredPerMille)
+	for _, o := range objectives {
+		if o.Class == count.Series.Class && o.Tier == count.Series.Tier {
+			objective = o.AnsweredPerMille
+		}
+	}
+	l := Line{
+		Series:            count.Series,
+		ObjectivePerMille: objective,
+		Short:             count.Short,
+		Long:              count.Long,
+		ShortBurn:         rate(count.Short, objective),
+		LongBurn:          rate(count.Long, objective),
+		Causes:            count.Causes,
+	}
+	l.LeftPerMille = int64(1000 * (1 - l.LongBurn))
+	return l
+}
+
+func rate(w WindowCount, objective int64) float64 {
+	if w.Total == 0 {
+		return 0
+	}
+	allowed := float64(1000-objective) / 1000
+	return float64(w.Bad) / float64(w.Total) / allowed
+}
--- /dev/null
+++ b/catalog/validate.go
@@ -0,0 +1,267 @@
+package catalog
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// maxChanges bounds one ticket, so that one log entry stays small.
+const maxChanges = 10_000
+
+// maxIDBytes bounds an object's id.
+const maxIDBytes = 200
+
+// checker collects the problems of one ticket. References are looked up in the
+// ticket first, then in the present state, so that one ticket can create a
+// workspace and its budget together.
+type checker struct {
+	state    *State
+	changed  map[Key]Change
+	problems []Problem
+}
+
+func (s *State) validate(ticket Ticket) []Problem {
+	c := checker{
+		state:   s,
+		changed: map[Key]Change{},
+	}
+	if ticket.Number == 0 {
+		c.add("number", "is 0", "number tickets from 1")
+	}
+	if ticket.Number <= s.floor {
+		c.add("number", fmt.Sprintf("%d is too old to judge: outcomes up to %d are no longer kept", ticket.Number, s.floor), "use a higher number")
+	}
+	if len(ticket.Changes) == 0 {
+		c.add("changes", "is empty", "name at least one object")
+	}
+	if len(ticket.Changes) > maxChanges {
+		c.add("changes", fmt.Sprintf("has %d objects, at most %d are taken", len(ticket.Changes), maxChanges), "split the ticket")
+		return c.problems
+	}
+	c.index(ticket)
+	if len(c.problems) > 0 {
+		return c.problems
+	}
+	for i, change := range ticket.Changes {
+		c.change(fmt.Sprintf("changes[%d]", i), change)
+	}
+	c.dangling()
+	return c.problems
+}
+
+func (c *checker) add(field, reason, hint string) {
+	c.problems = append(c.problems, Problem{
+		Field:  field,
+		Reason: reason,
+		Hint:   hint,
+	})
+}
+
+func (c *checker) index(ticket Ticket) {
+	for i, change := range ticket.Changes {
+		field := fmt.Sprintf("changes[%d]", i)
+		keys := change.keys()
+		if change.Remove != nil {
+			keys = append(keys, *change.Remove)
+		}
+		if len(keys) != 1 {
+			c.add(field, fmt.Sprintf("names %d objects", len(keys)), "each change holds exactly one object or one removal")
+			continue
+		}
+		key := keys[0]
+		if key.ID == "" || len(key.ID) > maxIDBytes {
+			c.add(field+".id", "is empty or longer than 200 bytes", "")
+		}
+		if _, twice := c.changed[key]; twice {
+			c.add(field, fmt.Sprintf("%s %q stands twice in the ticket", key.Kind, key.ID), "state each object once")
+		}
+		if last, ok := c.state.objects[key]; ok && last.Ticket >= ticket.Number {
+			c.add(field, fmt.Sprintf("%s %q was last changed by ticket %d", key.Kind, key.ID, last.Ticket), "use a higher ticket number")
+		}
+		c.changed[key] = change
+	}
+}
+
+// lookup returns the body that the object will have after the ticket.
+func (c *checker) lookup(kind Kind, id string) (Body, bool) {
+	key := Key{
+		Kind: kind,
+		ID:   id,
+	}
+	if change, ok := c.changed[key]; ok {
+		return change.Body, change.Remove == nil
+	}
+	object, ok := c.state.Object(key)
+	return object.Body, ok
+}
+
+func (c *checker) refer(field string, kind Kind, id string) Body {
+	body, ok := c.lookup(kind, id)
+	if !ok {
+		c.add(field, fmt.Sprintf("there is no %s %q", kind, id), "create it in this ticket or an earlier one")
+	}
+	return body
+}
+
+func (c *checker) change(field string, change Change) {
+	switch {
+	case change.Remove != nil:
+		c.remove(field+".remove", *change.Remove)
+	case change.Workspace != nil:
+		c.workspace(field+".workspace", *change.Workspace)
+	case change.Budget != nil:
+		c.budget(field+".budget", *change.Budget)
+	case change.Model != nil:
+		c.model(field+".model", *change.Model)
+	case change.Adapter != nil:
+		c.refer(field+".adapter.model", KindModel, string(change.Adapter.Model))
+	case change.Service != nil:
+		c.service(field+".service", *change.Service)
+	case change.BackendServer != nil:
+		c.backendServer(field+".backendServer", *change.BackendServer)
+	}
+}
+
+func (c *checker) remove(field string, key Key) {
+	if _, ok := c.state.Object(key); !ok {
+		c.add(field, fmt.Sprintf("there is no %s %q", key.Kind, key.ID), "")
+	}
+	if key.Kind == KindBudget {
+		c.add(field, "a budget cannot be removed, because its bill must stay readable", "set prepaid to what is already settled instead")
+	}
+}
+
+func (c *checker) workspace(field string, w Workspace) {
+	for i, key := range w.Keys {
+		at := fmt.Sprintf("%s.keys[%d]", field, i)
+		sum, err := hex.DecodeString(key.SHA256)
+		if err != nil || len(sum) != len(fleet.Digest{}) {
+			c.add(at+".sha256", "is not a SHA-256 sum in hexadecimal", "make one with: waxwingreel key")
+		}
+		if !key.Tier.Valid() {
+			c.add(at+".tier", fmt.Sprintf("%q is no tier", key.Tier), "use paying or trial")
+		}
+		body := c.refer(at+".budget", KindBudget, string(key.Budget))
+		if body.Budget == nil {
+			continue
+		}
+		if body.Budget.Workspace != w.ID {
+			c.add(at+".budget", fmt.Sprintf("budget %q belongs to workspace %q", key.Budget, body.Budget.Workspace), "")
+		}
+		if body.Budget.Tier != key.Tier {
+			c.add(at+".tier", fmt.Sprintf("budget %q is of tier %s", key.Budget, body.Budget.Tier), "")
+		}
+	}
+	if w.Weight < 0 {
+		c.add(field+".weight", "is negative", "")
+	}
+}
+
+func (c *checker) budget(field string, b Budget) {
+	c.refer(field+".workspace", KindWorkspace, string(b.Workspace))
+	if !b.Tier.Valid() {
+		c.add(field+".tier", fmt.Sprintf("%q is no tier", b.Tier), "use paying or trial")
+	}
+	if b.Prepaid < 0 {
+		c.add(field+".prepaid", "is negative", "")
+	}
+	last, ok := c.state.Object(Key{
+		Kind: KindBudget,
+		ID:   string(b.ID),
+	})
+	if ok && last.Body.Budget.Workspace != b.Workspace {
+		c.add(field+".workspace", "a budget cannot move to another workspace", "make a new budget")
+	}
+}
+
+func (c *checker) model(field string, m Model) {
+	if m.MaxOutput <= 0 || m.MaxPrompt <= 0 {
+		c.add(field, "maxOutput and maxPrompt must be above 0", "they bound what one request can cost")
+	}
+	if m.PromptPerMille < 0 || m.OutputPerMille < 0 {
+		c.add(field, "a price is negative", "")
+	}
+}
+
+func (c *checker) service(field string, s Service) {
+	for i, call := range s.Calls {
+		at := fmt.Sprintf("%s.calls[%d]", field, i)
+		if call.Method == "" || call.Path == "" || call.Path[0] != '/' {
+			c.add(at, "needs a method and a path that starts with /", "")
+		}
+		if !call.Class.Valid() {
+			c.add(at+".class", fmt.Sprintf("%q is no class", call.Class), "use lookup, interactive or long")
+		}
+		if call.Price < 0 {
+			c.add(at+".price", "is negative", "")
+		}
+	}
+}
+
+func (c *checker) backendServer(field string, b BackendServer) {
+	if _, err := netip.ParseAddrPort(b.Address); err != nil {
+		c.add(field+".address", fmt.Sprintf("%q is no IP address with a port", b.Address), "for example 10.0.0.7:8000")
+	}
+	if (len(b.Models) == 0) == (b.Service == "") {
+		c.add(field, "must have either models or a service", "")
+	}
+	for i, model := range b.Models {
+		c.refer(fmt.Sprintf("%s.models[%d]", field, i), KindModel, string(model))
+	}
+	if b.Service != "" {
+		c.refer(field+".service", KindService, string(b.Service))
+	}
+	if b.Slots <= 0 {
+		c.add(field+".slots", "must be above 0", "")
+	}
+}
+
+// dangling refuses a removal that leaves a reference to the removed object.
+func (c *checker) dangling() {
+	removed := map[Key]bool{}
+	for key, change := range c.changed {
+		if change.Remove != nil {
+			removed[key] = true
+		}
+	}
+	if len(removed) == 0 {
+		return
+	}
+	for key, object := range c.state.objects {
+		if _, changed := c.changed[key]; changed || object.Removed() {
+			continue
+		}
+		for _, target := range object.Body.references() {
+			if removed[target] {
+				c.add("changes", fmt.Sprintf("%s %q still refers to %s %q", key.Kind, key.ID, target.Kind, target.ID), "change or remove it in the same ticket")
+			}
+		}
+	}
+}
+
+func (b Body) references() []Key {
+	var keys []Key
+	add := func(kind Kind, id string) {
+		keys = append(keys, Key{
+			Kind: kind,
+			ID:   id,
+		})
+	}
+	switch {
+	case b.Budget != nil:
+		add(KindWorkspace, string(b.Budget.Workspace))
+	case b.Adapter != nil:
+		add(KindModel, string(b.Adapter.Model))
+	case b.BackendServer != nil:
+		for _, model := range b.BackendServer.Models {
+			add(KindModel, string(model))
+		}
+		if b.BackendServer.Service != "" {
+			add(KindService, string(b.BackendServer.Service))
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,217 @@
+// Package command holds the subcommands of the waxwingreel program.
+//
+// Exit codes: 0 for success, 1 for an operation that failed or was refused, 2 for
+// a mistake in the command line or the settings.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Version is the program's version. Release builds set it by a linker flag.
+var Version = "development"
+
+// environment is what the subcommands share.
+type environment struct {
+	out  io.Writer
+	errs io.Writer
+}
+
+// usageError marks a mistake of the command line or the settings.
+type usageError struct {
+	err error
+}
+
+// Error implements the error interface.
+func (u usageError) Error() string {
+	return u.err.Error()
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	env := &environment{
+		out:  out,
+		errs: errs,
+	}
+	parser := flags.NewNamedParser("waxwingreel", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Routes model requests for prepaid token budgets. Run 'waxwingreel COMMAND --help' for one command."
+	global := &globalOptions{}
+	if _, err := parser.AddGroup("Program", "", global); err != nil {
+		panic(err)
+	}
+	addCommands(parser, env)
+	global.Version = func() error {
+		_, _ = fmt.Fprintf(out, "waxwingreel %s\n", Version)
+		return errVersion
+	}
+	_, err := parser.ParseArgs(args)
+	return env.exitCode(err)
+}
+
+// errVersion ends the parsing after --version.
+var errVersion = eris.New("version was printed")
+
+type globalOptions struct {
+	Version func() error `long:"version" description:"Print the version and exit"`
+}
+
+func (e *environment) exitCode(err error) int {
+	parse := (*flags.Error)(nil)
+	usage := usageError{}
+	problems := settings.Problems{}
+	switch {
+	case err == nil || err == errVersion:
+		return ExitOK
+	case errors.As(err, &parse):
+		if parse.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(e.out, parse.Message)
+			return ExitOK
+		}
+		if eris.Is(err, errVersion) || parse.Message == errVersion.Error() {
+			return ExitOK
+		}
+		_, _ = fmt.Fprintf(e.errs, "waxwingreel: %s\nhint: see waxwingreel --help\n", parse.Message)
+		return ExitUsage
+	case errors.As(err, &problems):
+		_, _ = fmt.Fprintln(e.errs, problems.Error())
+		return ExitUsage
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintf(e.errs, "waxwingreel: %s\n", usage.Error())
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintf(e.errs, "waxwingreel: %s\n", eris.ToString(err, false))
+	return ExitFailed
+}
+
+// subcommand is a command of the parser.
+type subcommand struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+func addCommands(parser *flags.Parser, env *environment) {
+	add(parser, subcommand{
+		name:  "serve",
+		short: "Run one node",
+		long:  "Runs one node until it gets SIGINT or SIGTERM, and then stops without cutting a request off. A second signal cuts off what is left.",
+		data:  &serveCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "check",
+		short: "Check a settings file",
+		long:  "Checks a settings file whole, opens nothing, and says what is wrong and where.",
+		data:  &checkCommand{env: env},
+	})
+	ticket := add(parser, subcommand{
+		name:  "ticket",
+		short: "Apply and read change tickets",
+		data:  &struct{}{},
+	})
+	add(ticket, subcommand{
+		name:  "apply",
+		short: "Apply a numbered ticket",
+		data:  &ticketApplyCommand{env: env},
+	})
+	add(ticket, subcommand{
+		name:  "show",
+		short: "Show the outcome of a ticket",
+		data:  &ticketShowCommand{env: env},
+	})
+	add(ticket, subcommand{
+		name:  "list",
+		short: "List the newest tickets",
+		data:  &ticketListCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "status",
+		short: "Show the control replicas and the nodes",
+		data:  &statusCommand{env: env},
+	})
+	budget := add(parser, subcommand{
+		name:  "budget",
+		short: "Read budgets",
+		data:  &struct{}{},
+	})
+	add(budget, subcommand{
+		name:  "show",
+		short: "Show one budget with its leases",
+		data:  &budgetShowCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "entries",
+		short: "Ask which entry nodes to use",
+		data:  &entriesCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "request",
+		short: "Send one chat request and stream its answer",
+		data:  &requestCommand{env: env},
+	})
+	report := add(parser, subcommand{
+		name:  "report",
+		short: "Reports",
+		data:  &struct{}{},
+	})
+	add(report, subcommand{
+		name:  "burn",
+		short: "Show the service-level burn",
+		data:  &burnCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "key",
+		short: "Make a key and its SHA-256 sum",
+		data:  &keyCommand{env: env},
+	})
+	add(parser, subcommand{
+		name:  "fleet",
+		short: "Run a small fleet in one process and show its work",
+		long:  "Starts the nodes of the settings files and stand-ins for the backend servers in this one process, applies a ticket, sends paying and trial requests, and prints the answers, the bills and the burn report.",
+		data:  &fleetCommand{env: env},
+	})
+}
+
+type commandParent interface {
+	AddCommand(command, short, long string, data any) (*flags.Command, error)
+}
+
+func add(parent commandParent, s subcommand) *flags.Command {
+	long := s.long
+	if long == "" {
+		long = s.short + "."
+	}
+	c, err := parent.AddCommand(s.name, s.short, long, s.data)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// readFile reads a file, or standard input for "-".
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		text, err := io.ReadAll(os.Stdin)
+		return text, eris.Wrap(err, "read standard input")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError{err: err}
+	}
+	return text, nil
+}
--- /dev/null
+++ b/command/fleet.go
@@ -0,0 +1,240 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/caller"
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/demo"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/operator"
+	"github.com/waxwingreel/waxwingreel/settings"
+)
+
+// fleetTimeout bounds the show.
+const fleetTimeout = 60 * time.Second
+
+// fleetTicket is the number under which the fleet's ticket is applied.
+const fleetTicket fleet.TicketNumber = 1
+
+type fleetCommand struct {
+	Settings    []string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"Settings file of one node; repeat it for each node"`
+	Ticket      string   `long:"ticket" value-name:"FILE" required:"true" description:"Ticket to apply; a stand-in is started for each of its backend servers"`
+	OperatorKey string   `long:"operator-key" default:"demo-operator-key" description:"Operator's key"`
+	PayingKey   string   `long:"paying-key" default:"demo-paying-key" description:"Key of paying callers"`
+	TrialKey    string   `long:"trial-key" default:"demo-trial-key" description:"Key of trial callers"`
+	Log         string   `long:"log" value-name:"FILE" description:"Where to write the events; nowhere where absent"`
+	Keep        bool     `long:"keep" description:"Go on running until interrupted"`
+	env         *environment
+}
+
+// Execute implements flags.Commander.
+func (c *fleetCommand) Execute([]string) error {
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	f, err := demo.Start(cfg)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
+	defer cancel()
+	admin := adminOptions{
+		Node: cfg.Nodes[0].Listen.Operators.String(),
+		Key:  c.OperatorKey,
+	}
+	if err := c.run(ctx, f, cfg, admin); err != nil {
+		return err
+	}
+	if c.Keep {
+		c.wait(cfg)
+	}
+	return nil
+}
+
+func (c *fleetCommand) config() (demo.Config, error) {
+	cfg := demo.Config{
+		Log:     io.Discard,
+		Version: Version,
+	}
+	for _, path := range c.Settings {
+		s, err := settings.Load(path)
+		if err != nil {
+			return cfg, err
+		}
+		cfg.Nodes = append(cfg.Nodes, s)
+	}
+	text, err := readFile(c.Ticket)
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Ticket, err = catalog.ParseTicket(fleetTicket, text)
+	if err != nil {
+		return cfg, usageError{err: err}
+	}
+	if c.Log != "" {
+		file, err := os.Create(c.Log)
+		if err != nil {
+			return cfg, usageError{err: err}
+		}
+		cfg.Log = file
+	}
+	return cfg, nil
+}
+
+func (c *fleetCommand) run(ctx context.Context, f *demo.Fleet, cfg demo.Config, admin adminOptions) error {
+	out := c.env.out
+	_, _ = fmt.Fprintf(out, "%d nodes started; applying ticket %d\n", len(cfg.Nodes), fleetTicket)
+	if err := applyTicket(ctx, out, admin, cfg.Ticket); err != nil {
+		return err
+	}
+	if err := f.AwaitReady(ctx); err != nil {
+		return err
+	}
+	if err := f.Show(ctx, out, c.requests(cfg.Ticket)); err != nil {
+		return err
+	}
+	for _, change := range cfg.Ticket.Changes {
+		if change.Budget == nil {
+			continue
+		}
+		show := &budgetShowCommand{
+			adminOptions: admin,
+			env:          c.env,
+		}
+		show.Args.ID = string(change.Budget.ID)
+		if err := show.Execute(nil); err != nil {
+			return err
+		}
+	}
+	_, _ = fmt.Fprintln(out)
+	return printBurn(out, f.BurnReport(ctx))
+}
+
+// applyTicket sends the ticket until the control group has formed and takes it.
+func applyTicket(ctx context.Context, out io.Writer, admin adminOptions, ticket catalog.Ticket) error {
+	text, err := json.Marshal(ticket)
+	if err != nil {
+		return eris.Wrap(err, "encode the ticket")
+	}
+	path := fmt.Sprintf("/v1/tickets/%d?waitMillis=5000", ticket.Number)
+	for {
+		body, status, err := admin.call(http.MethodPut, path, text)
+		switch {
+		case err == nil && status == http.StatusOK:
+			answer := operator.TicketAnswer{}
+			if err := json.Unmarshal(bytes.TrimSpace(body), &answer); err != nil {
+				return eris.Wrap(err, "decode the ticket's outcome")
+			}
+			return printTicket(out, answer)
+		case err == nil && status != http.StatusServiceUnavailable:
+			return admin.problem(status, body)
+		}
+		select {
+		case <-ctx.Done():
+			return eris.New("the control group did not form in time")
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// requests is the show: both kinds of callers, both kinds of backend servers, and
+// retries.
+func (c *fleetCommand) requests(ticket catalog.Ticket) []demo.Request {
+	model, service := "", fleet.ServiceID("")
+	path := ""
+	for _, change := range ticket.Changes {
+		if change.Model != nil {
+			model = string(change.Model.ID)
+		}
+		if change.Service == nil {
+			continue
+		}
+		service = change.Service.ID
+		for _, call := range change.Service.Calls {
+			if !call.Idempotent {
+				path = call.Path
+			}
+		}
+	}
+	frost := caller.Chat{
+		ID:        fleet.NewRequestID(),
+		Model:     model,
+		Prompt:    "Will there be frost at the Inari station tonight? length=12",
+		MaxTokens: 40,
+	}
+	trial := caller.Chat{
+		ID:        fleet.NewRequestID(),
+		Model:     model,
+		Prompt:    "Which neighbours report hail? length=8",
+		MaxTokens: 20,
+		Class:     fleet.ClassLookup,
+	}
+	tooMuch := caller.Chat{
+		ID:        fleet.NewRequestID(),
+		Model:     model,
+		Prompt:    "A digest of the whole coast. length=1500",
+		MaxTokens: 1500,
+	}
+	change := caller.Call{
+		ID:      fleet.NewRequestID(),
+		Service: service,
+		Path:    path,
+		Body:    []byte(`{"sensor":"rain gauge","note":"recalibrated"}`),
+	}
+	return []demo.Request{
+		{
+			Title: "A paying caller asks:",
+			Key:   c.PayingKey,
+			Chat:  &frost,
+		},
+		{
+			Title: "The same request again, under the same id, is not billed again:",
+			Key:   c.PayingKey,
+			Chat:  &frost,
+		},
+		{
+			Title: "A trial caller asks:",
+			Key:   c.TrialKey,
+			Chat:  &trial,
+		},
+		{
+			Title:  "A trial caller asks for more than the trial allowance:",
+			Key:    c.TrialKey,
+			Chat:   &tooMuch,
+			Refuse: true,
+		},
+		{
+			Title: "A call that runs at most once:",
+			Key:   c.PayingKey,
+			Call:  &change,
+		},
+		{
+			Title: "The same call again gets the stored answer:",
+			Key:   c.PayingKey,
+			Call:  &change,
+		},
+	}
+}
+
+func (c *fleetCommand) wait(cfg demo.Config) {
+	for _, s := range cfg.Nodes {
+		_, _ = fmt.Fprintf(c.env.out, "node %s: callers %s, operators %s\n", s.Node, s.Listen.Callers, s.Listen.Operators)
+	}
+	_, _ = fmt.Fprintln(c.env.out, "running until interrupted")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt)
+	<-signals
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/node"
+	"github.com/waxwingreel/waxwingreel/settings"
+)
+
+type settingsOption struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"Settings file, JSON with comments"`
+}
+
+type serveCommand struct {
+	settingsOption
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := event.New(c.env.errs, string(s.Node))
+	n, err := node.Start(node.Config{
+		Settings: s,
+		Log:      log,
+		Version:  Version,
+	})
+	if err != nil {
+		log.Error(event.NodeFailed).Err(err).Msg("node could not start")
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	n.Stop(ctx)
+	return nil
+}
+
+type checkCommand struct {
+	settingsOption
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.env.out, "%s: node %s in data centre %s: settings are sound\n", c.Settings, s.Node, s.DataCentre)
+	return err
+}
+
+// keyBytes is the size of a new key.
+const keyBytes = 24
+
+type keyCommand struct {
+	env *environment
+}
+
+// Execute implements flags.Commander.
+func (c *keyCommand) Execute([]string) error {
+	raw := make([]byte, keyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return eris.Wrap(err, "make a key")
+	}
+	key := "wxr_" + base64.RawURLEncoding.EncodeToString(raw)
+	sum := sha256.Sum256([]byte(key))
+	_, err := fmt.Fprintf(c.env.out, "key     %s\nsha256  %s\n", key, hex.EncodeToString(sum[:]))
+	return err
+}
--- /dev/null
+++ b/control/command.go
@@ -0,0 +1,47 @@
+// Package control is one replica of the fleet's control state: it drives the
+// consensus core, the journal and the state machine, and serves entry nodes and
+// other replicas over the wire.
+package control
+
+import (
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+)
+
+// Command is one entry of the replicated log. At is set by the leader; of the
+// other fields any may be set, and they are carried out in the order in which
+// they stand here.
+//
+// Every command is idempotent, so that an asker that lost the answer asks again.
+type Command struct {
+	At      fleet.UnixMillis        `json:"at"`
+	Ticket  *catalog.Ticket         `json:"ticket,omitempty"`
+	Join    *ledger.Join            `json:"join,omitempty"`
+	Leases  []ledger.LeaseChange    `json:"leases,omitempty"`
+	Settle  *ledger.Settle          `json:"settle,omitempty"`
+	Begin   *ledger.Begin           `json:"begin,omitempty"`
+	Finish  *ledger.Finish          `json:"finish,omitempty"`
+	Confirm *ledger.ConfirmNoneHeld `json:"confirm,omitempty"`
+}
+
+// Result answers a Command, field by field.
+type Result struct {
+	Outcome  *catalog.Outcome      `json:"outcome,omitempty"`
+	Joined   bool                  `json:"joined,omitempty"`
+	Leases   []ledger.LeaseResult  `json:"leases,omitempty"`
+	Settled  []ledger.SettleResult `json:"settled,omitempty"`
+	Begun    *ledger.BeginResult   `json:"begun,omitempty"`
+	Finished *ledger.SettleResult  `json:"finished,omitempty"`
+}
+
+// effects is what subscribers must hear of after a command.
+type effects struct {
+	catalog bool
+	ending  bool
+	recalls []ledger.Recall
+}
+
+func (e *effects) any() bool {
+	return e.catalog || e.ending || len(e.recalls) > 0
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// machine is the replicated state: the catalog and the ledger, changed only by
+// commands of the log.
+type machine struct {
+	catalog  *catalog.State
+	ledger   *ledger.State
+	commands uint64
+}
+
+func newMachine() *machine {
+	return &machine{
+		catalog: catalog.New(),
+		ledger:  ledger.New(),
+	}
+}
+
+// apply carries out one command.
+func (m *machine) apply(c Command) (Result, effects) {
+	result := Result{}
+	effect := effects{}
+	m.commands++
+	m.ledger.Advance(c.At)
+	if c.Ticket != nil {
+		result.Outcome = m.applyTicket(*c.Ticket, c.At, &effect)
+	}
+	if c.Join != nil {
+		result.Joined = m.ledger.Join(c.Join.Holder)
+		effect.ending = true
+	}
+	for _, change := range c.Leases {
+		answer, recalls := m.ledger.ChangeLease(change)
+		result.Leases = append(result.Leases, answer)
+		effect.recalls = append(effect.recalls, recalls...)
+	}
+	if c.Settle != nil {
+		for _, settlement := range c.Settle.Settlements {
+			result.Settled = append(result.Settled, m.ledger.Settle(settlement))
+		}
+	}
+	if c.Begin != nil {
+		begun := m.ledger.Begin(*c.Begin)
+		result.Begun = &begun
+	}
+	if c.Finish != nil {
+		finished := m.ledger.Finish(*c.Finish)
+		result.Finished = &finished
+	}
+	if c.Confirm != nil {
+		m.ledger.Confirm(*c.Confirm)
+	}
+	return result, effect
+}
+
+func (m *machine) applyTicket(ticket catalog.Ticket, now fleet.UnixMillis, effect *effects) *catalog.Outcome {
+	before := m.catalog.Version()
+	outcome := m.catalog.Apply(ticket, now, m.checkBudgets)
+	if m.catalog.Version() == before {
+		return &outcome
+	}
+	effect.catalog = true
+	for _, change := range ticket.Changes {
+		if change.Budget != nil {
+			m.ledger.SetPrepaid(change.Budget.ID, change.Budget.Prepaid)
+		}
+		if change.Node != nil && change.Node.Gone {
+			m.ledger.Remove(change.Node.ID)
+			effect.ending = true
+		}
+	}
+	return &outcome
+}
+
+// checkBudgets refuses to take back what is spent or may be spent.
+func (m *machine) checkBudgets(changes []catalog.Change) []catalog.Problem {
+	var problems []catalog.Problem
+	for i, change := range changes {
+		if change.Budget == nil || m.ledger.CanSetPrepaid(change.Budget.ID, change.Budget.Prepaid) {
+			continue
+		}
+		view, _ := m.ledger.Budget(change.Budget.ID)
+		problems = append(problems, catalog.Problem{
+			Field:  fmt.Sprintf("changes[%d].budget.prepaid", i),
+			Reason: fmt.Sprintf("%d is less than the %d settled and %d leased", change.Budget.Prepaid, view.Settled, view.Leased),
+			Hint:   "prepaid is the whole amount paid so far, not an increment",
+		})
+	}
+	return problems
+}
+
+// image is the state machine in a snapshot.
+type image struct {
+	Catalog  catalog.Image `json:"catalog"`
+	Ledger   ledger.Image  `json:"ledger"`
+	Commands uint64        `json:"commands"`
+}
+
+func (m *machine) snapshot() ([]byte, error) {
+	data, err := cbor.Marshal(image{
+		Catalog:  m.catalog.Image(),
+		Ledger:   m.ledger.Image(),
+		Commands: m.commands,
+	})
+	return data, eris.Wrap(err, "control: encode the state")
+}
+
+func machineFromSnapshot(data []byte) (*machine, error) {
+	if len(data) == 0 {
+		return newMachine(), nil
+	}
+	i := image{}
+	if err := wire.Decode(data, &i); err != nil {
+		return nil, eris.Wrap(err, "control: decode the state")
+	}
+	return &machine{
+		catalog:  catalog.FromImage(i.Catalog),
+		ledger:   ledger.FromImage(i.Ledger),
+		commands: i.Commands,
+	}, nil
+}
--- /dev/null
+++ b/control/protocol.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"net/netip"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// The methods that a control replica serves.
+const (
+	// MethodConsensus carries consensus.Message between replicas.
+	MethodConsensus wire.Method = "consensus"
+	// MethodAnnounce carries Announcement between replicas.
+	MethodAnnounce wire.Method = "announce"
+	// MethodSubmit asks for a Command; the answer is a SubmitAnswer.
+	MethodSubmit wire.Method = "submit"
+	// MethodQuery asks a Query; the answer is a QueryAnswer.
+	MethodQuery wire.Method = "query"
+	// MethodSubscribe opens a channel: Heartbeat one way, Update the other.
+	MethodSubscribe wire.Method = "subscribe"
+)
+
+// Announcement tells the other control nodes who a replica is and which entry
+// nodes it heard of.
+type Announcement struct {
+	Node    fleet.NodeID        `json:"node"`
+	Replica consensus.ReplicaID `json:"replica"`
+	Address netip.AddrPort      `json:"address"`
+	// Formed says that the replica belongs to a group.
+	Formed bool            `json:"formed"`
+	Heard  []roster.Report `json:"heard,omitempty"`
+}
+
+// SubmitStatus tells what became of a command.
+type SubmitStatus string
+
+// What can become of a command.
+const (
+	// SubmitDone means that the command was committed; Result answers it.
+	SubmitDone SubmitStatus = "done"
+	// SubmitNotLeader means that the command was not taken, and names the
+	// leader if it is known.
+	SubmitNotLeader SubmitStatus = "notLeader"
+	// SubmitUnavailable means that the command was not taken because the
+	// group cannot take any now.
+	SubmitUnavailable SubmitStatus = "unavailable"
+	// SubmitUnknown means that leadership was lost while the command was
+	// under way: it may or may not be carried out.
+	SubmitUnknown SubmitStatus = "unknown"
+)
+
+// SubmitAnswer answers a Command.
+type SubmitAnswer struct {
+	Status SubmitStatus   `json:"status"`
+	Result Result         `json:"result"`
+	Leader netip.AddrPort `json:"leader"`
+	Reason string         `json:"reason,omitempty"`
+}
+
+// Query asks for a part of the state. Exactly one field is set.
+type Query struct {
+	Budget  fleet.BudgetID     `json:"budget,omitempty"`
+	Ticket  fleet.TicketNumber `json:"ticket,omitempty"`
+	Tickets int                `json:"tickets,omitempty"`
+	Status  bool               `json:"status,omitempty"`
+}
+
+// QueryAnswer answers a Query. Budgets and tickets are answered only by a leader
+// that holds its lease.
+type QueryAnswer struct {
+	Status SubmitStatus       `json:"status"`
+	Leader netip.AddrPort     `json:"leader"`
+	Found  bool               `json:"found"`
+	Budget *ledger.BudgetView `json:"budget,omitempty"`
+	// Outcomes and Digest answer Ticket and Tickets.
+	Outcomes []catalog.Outcome `json:"outcomes,omitempty"`
+	Digest   fleet.Digest      `json:"digest"`
+	Replica  *ReplicaStatus    `json:"replica,omitempty"`
+}
+
+// ReplicaStatus is one replica as operators see it.
+type ReplicaStatus struct {
+	Node      fleet.NodeID     `json:"node"`
+	Consensus consensus.Status `json:"consensus"`
+	HasLease  bool             `json:"hasLease"`
+	Open      bool             `json:"open"`
+	Failed    string           `json:"failed,omitempty"`
+	Version   fleet.Version    `json:"version"`
+	Ledger    ledger.Stats     `json:"ledger"`
+	LogBytes  int64            `json:"logBytes"`
+	Nodes     []roster.Report  `json:"nodes"`
+	NowMillis fleet.UnixMillis `json:"nowMillis"`
+}
+
+// Heartbeat is what an entry node sends its control replica.
+type Heartbeat struct {
+	Report roster.Report `json:"report"`
+	// Full asks for the whole roster and the open recalls again.
+	Full bool `json:"full,omitempty"`
+}
+
+// Update is what a control replica sends an entry node. Absent parts have not
+// changed.
+type Update struct {
+	// Stale says that the replica has not heard from a leader lately. It
+	// then sends no configuration, which could be an old one.
+	Stale   bool            `json:"stale,omitempty"`
+	Delta   *catalog.Delta  `json:"delta,omitempty"`
+	Roster  []roster.Report `json:"roster,omitempty"`
+	Recalls []ledger.Recall `json:"recalls,omitempty"`
+	// Ending lists the ended holders that the node has not confirmed.
+	Ending []fleet.Holder `json:"ending,omitempty"`
+	// Leader is where commands go, if known.
+	Leader netip.AddrPort `json:"leader"`
+}
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,581 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/journal"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// Times of the control loop.
+const (
+	// ElectionTimeout is the silence of a leader after which another may be
+	// elected.
+	ElectionTimeout = time.Second
+	// heartbeatInterval is the time between a leader's messages.
+	heartbeatInterval = 150 * time.Millisecond
+	tickInterval      = 25 * time.Millisecond
+	announceInterval  = 500 * time.Millisecond
+	// freshWithin is how old a replica's last word from its leader may be for
+	// it to hand out configuration.
+	freshWithin = 1500 * time.Millisecond
+)
+
+// Sizes of the control loop.
+const (
+	maxBatch = 512
+	// snapshotLogBytes and snapshotEntries bound the log that a restart must
+	// replay.
+	snapshotLogBytes = 16 << 20
+	snapshotEntries  = 20_000
+)
+
+// mainGroup is the only group that runs so far. All keys, messages and files carry
+// the group's number.
+const mainGroup fleet.GroupID = 0
+
+// Peer is one VM that may carry a control replica.
+type Peer struct {
+	Node    fleet.NodeID
+	Address netip.AddrPort
+}
+
+// Config sets up a Replica.
+type Config struct {
+	Node fleet.NodeID
+	// Peers lists the VMs that first form the group, this one included.
+	Peers []Peer
+	// Bootstrap lets this replica start a new group when every peer says that
+	// there is none.
+	Bootstrap bool
+	Disk      journal.Disk
+	Endpoint  *wire.Endpoint
+	Log       *event.Log
+}
+
+// Replica is one running control replica. Its state belongs to one goroutine;
+// other goroutines reach it by do.
+type Replica struct {
+	cfg     Config
+	id      consensus.ReplicaID
+	journal *journal.Journal
+	core    *consensus.Core
+	machine *machine
+	applied consensus.Index
+	table   *roster.Table
+
+	peers     map[fleet.NodeID]Announcement
+	direct    map[fleet.NodeID]roster.Report
+	directAt  map[fleet.NodeID]time.Duration
+	waiting   map[consensus.Index]waiter
+	wasLeader bool
+	failed    error
+	announced time.Duration
+
+	messages  chan consensus.Message
+	proposals chan proposal
+	work      chan func()
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+
+	subscribersMu sync.Mutex
+	subscribers   map[*subscriber]struct{}
+	appliedCount  atomic.Uint64
+}
+
+type proposal struct {
+	command Command
+	answer  chan SubmitAnswer
+}
+
+type waiter struct {
+	term   consensus.Term
+	answer chan SubmitAnswer
+}
+
+// NewReplica opens the replica's journal, adds its handlers to the endpoint and
+// starts it. The endpoint must not have been started.
+func NewReplica(cfg Config) (*Replica, error) {
+	id, err := replicaID(cfg.Disk)
+	if err != nil {
+		return nil, err
+	}
+	store, contents, err := journal.Open(cfg.Disk, mainGroup)
+	if err != nil {
+		return nil, err
+	}
+	restored, err := machineFromSnapshot(contents.Snapshot.Data)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	now := clock.Boot()
+	r := &Replica{
+		cfg:     cfg,
+		id:      id,
+		journal: store,
+		core: consensus.New(consensus.Config{
+			Group:             mainGroup,
+			ID:                id,
+			ElectionTimeout:   ElectionTimeout,
+			HeartbeatInterval: heartbeatInterval,
+			Seed:              uint64(id),
+			HardState:         contents.HardState,
+			Snapshot:          contents.Snapshot,
+			Entries:           contents.Entries,
+			Now:               now,
+		}),
+		machine:     restored,
+		applied:     contents.Snapshot.Index,
+		table:       roster.New(),
+		peers:       map[fleet.NodeID]Announcement{},
+		direct:      map[fleet.NodeID]roster.Report{},
+		directAt:    map[fleet.NodeID]time.Duration{},
+		waiting:     map[consensus.Index]waiter{},
+		messages:    make(chan consensus.Message, 4096),
+		proposals:   make(chan proposal, 4096),
+		work:        make(chan func(), 256),
+		ctx:         ctx,
+		cancel:      cancel,
+		subscribers: map[*subscriber]struct{}{},
+	}
+	cfg.Log.Info(event.ReplicaOpened).
+		Uint64("replica", uint64(id)).
+		Uint64("snapshot", uint64(contents.Snapshot.Index)).
+		Int("entries", len(contents.Entries)).
+		Msg("control replica opened its journal")
+	r.handle(cfg.Endpoint)
+	r.wait.Go(r.loop)
+	return r, nil
+}
+
+// replicaID reads the disk's replica id, or makes one for an empty disk.
+func replicaID(disk journal.Disk) (consensus.ReplicaID, error) {
+	const name = "replica-id"
+	names, err := disk.Names()
+	if err != nil {
+		return 0, err
+	}
+	for _, n := range names {
+		if n != name {
+			continue
+		}
+		data, err := disk.Read(name)
+		if err != nil {
+			return 0, err
+		}
+		if len(data) == 8 {
+			return consensus.ReplicaID(binary.BigEndian.Uint64(data)), nil
+		}
+		return 0, eris.Errorf("control: %s holds %d bytes, want 8", name, len(data))
+	}
+	raw := make([]byte, 8)
+	if _, err := rand.Read(raw); err != nil {
+		return 0, eris.Wrap(err, "control: make a replica id")
+	}
+	return consensus.ReplicaID(binary.BigEndian.Uint64(raw)), writeSynced(disk, name, raw)
+}
+
+func writeSynced(disk journal.Disk, name string, data []byte) error {
+	file, err := disk.Open(name + ".new")
+	if err != nil {
+		return err
+	}
+	if err := file.Truncate(0); err != nil {
+		return eris.Wrapf(err, "control: truncate %s", name)
+	}
+	if _, err := file.Write(data); err != nil {
+		return eris.Wrapf(err, "control: write %s", name)
+	}
+	if err := file.Sync(); err != nil {
+		return eris.Wrapf(err, "control: sync %s", name)
+	}
+	if err := file.Close(); err != nil {
+		return eris.Wrapf(err, "control: close %s", name)
+	}
+	if err := disk.Rename(name+".new", name); err != nil {
+		return err
+	}
+	return disk.SyncFolder()
+}
+
+// Close stops the replica. A leader first hands over.
+func (r *Replica) Close() {
+	r.handOver()
+	r.cancel()
+	r.wait.Wait()
+	_ = r.journal.Close()
+}
+
+func (r *Replica) handOver() {
+	transferred := false
+	r.do(func() { transferred = r.core.Transfer() })
+	for i := 0; transferred && i < int(ElectionTimeout/tickInterval); i++ {
+		leading := false
+		r.do(func() { leading = r.core.IsLeader() })
+		if !leading {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+// do runs f on the control goroutine and reports whether it ran.
+func (r *Replica) do(f func()) bool {
+	done := make(chan struct{})
+	select {
+	case r.work <- func() {
+		f()
+		close(done)
+	}:
+	case <-r.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// loop owns the replica's state.
+func (r *Replica) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		case m := <-r.messages:
+			r.step(m)
+		case p := <-r.proposals:
+			r.propose(p)
+		case f := <-r.work:
+			f()
+		}
+		r.drain()
+		now := clock.Boot()
+		if r.failed == nil {
+			r.core.Tick(now)
+			r.manageGroup()
+			r.flush()
+		}
+		r.watchLeadership()
+		r.tellPeers(now)
+	}
+}
+
+// drain takes what else is waiting, so that one sync serves many commands.
+func (r *Replica) drain() {
+	for range maxBatch {
+		select {
+		case m := <-r.messages:
+			r.step(m)
+		case p := <-r.proposals:
+			r.propose(p)
+		case f := <-r.work:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) step(m consensus.Message) {
+	if r.failed == nil {
+		r.core.Step(m, clock.Boot())
+	}
+}
+
+// flush carries out what the core asks for, until it asks for nothing more.
+func (r *Replica) flush() {
+	for {
+		out := r.core.Output()
+		r.send(out.Early)
+		if err := r.save(out); err != nil {
+			r.fail(err)
+			return
+		}
+		committed := r.core.Persisted()
+		r.send(out.Late)
+		r.apply(committed)
+		if len(committed) == 0 && len(out.Entries) == 0 && out.Snapshot == nil && len(out.Early) == 0 {
+			break
+		}
+	}
+	r.maybeCompact()
+}
+
+func (r *Replica) save(out consensus.Output) error {
+	if out.Snapshot == nil {
+		return r.journal.Save(out.HardState, out.Entries)
+	}
+	restored, err := machineFromSnapshot(out.Snapshot.Data)
+	if err != nil {
+		return err
+	}
+	if err := r.journal.SaveSnapshot(*out.Snapshot, r.core.HardState(), out.Entries); err != nil {
+		return err
+	}
+	r.machine = restored
+	r.applied = out.Snapshot.Index
+	r.cfg.Log.Info(event.SnapshotInstalled).
+		Uint64("index", uint64(r.applied)).
+		Int("bytes", len(out.Snapshot.Data)).
+		Msg("control replica installed its leader's snapshot")
+	r.notify(effects{catalog: true})
+	return nil
+}
+
+// fail stops the replica: after a failed write or sync it is unknown what the disk
+// holds, so nothing more may be acknowledged.
+func (r *Replica) fail(err error) {
+	r.failed = err
+	r.cfg.Log.Error(event.ReplicaFailed).Err(err).Msg("control replica stopped: its disk failed")
+	r.releaseWaiting(SubmitUnknown, "the replica's disk failed")
+}
+
+func (r *Replica) send(messages []consensus.Message) {
+	members := r.core.Members()
+	for _, m := range messages {
+		address, ok := r.addressOf(members, m.To)
+		if ok {
+			r.cfg.Endpoint.Send(address, MethodConsensus, m)
+		}
+	}
+}
+
+// addressOf finds where a replica is. A candidate's voters may not be in this
+// replica's own membership, so announcements count as well.
+func (r *Replica) addressOf(members consensus.Membership, id consensus.ReplicaID) (netip.AddrPort, bool) {
+	for _, a := range r.peers {
+		if a.Replica == id {
+			return a.Address, true
+		}
+	}
+	member, ok := members.Find(id)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	for _, p := range r.cfg.Peers {
+		if p.Node == member.Node {
+			return p.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (r *Replica) apply(entries []consensus.Entry) {
+	all := effects{}
+	for _, entry := range entries {
+		r.applied = entry.Index
+		if entry.Kind != consensus.EntryCommand {
+			r.answer(entry, Result{})
+			continue
+		}
+		command := Command{}
+		if err := wire.Decode(entry.Data, &command); err != nil {
+			// Every replica fails alike on such an entry, which no leader
+			// of this version can have written.
+			r.fail(eris.Wrapf(err, "control: decode entry %d", entry.Index))
+			return
+		}
+		result, effect := r.machine.apply(command)
+		all.catalog = all.catalog || effect.catalog
+		all.ending = all.ending || effect.ending
+		all.recalls = append(all.recalls, effect.recalls...)
+		r.answer(entry, result)
+	}
+	r.appliedCount.Add(uint64(len(entries)))
+	if all.any() {
+		r.notify(all)
+	}
+}
+
+func (r *Replica) answer(entry consensus.Entry, result Result) {
+	w, ok := r.waiting[entry.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiting, entry.Index)
+	if w.term != entry.Term {
+		w.answer <- SubmitAnswer{
+			Status: SubmitUnknown,
+			Reason: "another leader's entry took the place",
+		}
+		return
+	}
+	w.answer <- SubmitAnswer{
+		Status: SubmitDone,
+		Result: result,
+	}
+}
+
+func (r *Replica) releaseWaiting(status SubmitStatus, reason string) {
+	for index, w := range r.waiting {
+		w.answer <- SubmitAnswer{
+			Status: status,
+			Reason: reason,
+		}
+		delete(r.waiting, index)
+	}
+}
+
+func (r *Replica) propose(p proposal) {
+	if r.failed != nil {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "this replica's disk failed",
+		}
+		return
+	}
+	if !r.core.IsLeader() {
+		p.answer <- SubmitAnswer{
+			Status: SubmitNotLeader,
+			Leader: r.leaderAddress(),
+		}
+		return
+	}
+	if !r.open() {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the control group is still forming",
+		}
+		return
+	}
+	p.command.At = clock.Wall()
+	data, err := cbor.Marshal(p.command)
+	if err != nil {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "encode the command: " + err.Error(),
+		}
+		return
+	}
+	index, term, ok := r.core.Propose(data)
+	if !ok {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the leader is handing over",
+		}
+		return
+	}
+	r.waiting[index] = waiter{
+		term:   term,
+		answer: p.answer,
+	}
+}
+
+// watchLeadership releases the askers of a leader that was deposed. Their commands
+// may still be committed by the next leader.
+func (r *Replica) watchLeadership() {
+	leads := r.failed == nil && r.core.IsLeader()
+	if leads == r.wasLeader {
+		return
+	}
+	r.wasLeader = leads
+	if leads {
+		r.cfg.Log.Info(event.LeaderElected).Uint64("term", uint64(r.core.Term())).Msg("control replica leads")
+	} else {
+		r.cfg.Log.Info(event.LeaderLost).Uint64("term", uint64(r.core.Term())).Msg("control replica no longer leads")
+		r.releaseWaiting(SubmitUnknown, "leadership was lost while the command was under way")
+	}
+	r.notify(effects{ending: true})
+}
+
+// maybeCompact takes a snapshot when the log has grown.
+func (r *Replica) maybeCompact() {
+	behind := r.applied - r.core.SnapshotIndex()
+	if r.failed != nil || behind < snapshotEntries && (behind < 100 || r.journal.LogBytes() < snapshotLogBytes) {
+		return
+	}
+	data, err := r.machine.snapshot()
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	snapshot := r.core.Compact(r.applied, data)
+	if err := r.journal.SaveSnapshot(snapshot, r.core.HardState(), r.core.Entries()); err != nil {
+		r.fail(err)
+		return
+	}
+	r.cfg.Log.Info(event.SnapshotTaken).
+		Uint64("index", uint64(snapshot.Index)).
+		Int("bytes", len(data)).
+		Msg("control replica compacted its log")
+}
+
+// Submit hands a command to this replica.
+func (r *Replica) Submit(ctx context.Context, command Command) SubmitAnswer {
+	p := proposal{
+		command: command,
+		answer:  make(chan SubmitAnswer, 1),
+	}
+	select {
+	case r.proposals <- p:
+	case <-r.ctx.Done():
+		return SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the replica is stopping",
+		}
+	case <-ctx.Done():
+		return SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the replica is busy",
+		}
+	}
+	select {
+	case answer := <-p.answer:
+		return answer
+	case <-r.ctx.Done():
+	case <-ctx.Done():
+	}
+	return SubmitAnswer{
+		Status: SubmitUnknown,
+		Reason: "no answer in time",
+	}
+}
+
+// open reports whether the group has formed. Before that a single VM's loss could
+// lose what was acknowledged.
+func (r *Replica) open() bool {
+	return r.machine.commands > 0 || r.core.Members().Voters() >= len(r.cfg.Peers)
+}
+
+func (r *Replica) leaderAddress() netip.AddrPort {
+	if r.failed != nil {
+		return netip.AddrPort{}
+	}
+	if r.core.IsLeader() {
+		return r.cfg.Endpoint.Address()
+	}
+	address, _ := r.addressOf(r.core.Members(), r.core.Leader())
+	return address
+}
+
+// ledgerEnding is read by subscribers on the control goroutine.
+func (r *Replica) ledgerEnding(node fleet.NodeID) []fleet.Holder {
+	return r.machine.ledger.Ending(node)
+}
+
+func (r *Replica) ledgerRecalls(holder fleet.Holder) []ledger.Recall {
+	return r.machine.ledger.Recalls(holder)
+}
--- /dev/null
+++ b/control/serve.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// submitTimeout bounds how long a replica works on one command.
+const submitTimeout = 5 * time.Second
+
+// updateInterval is the longest time between updates to a subscriber; each also
+// says that the replica is alive.
+const updateInterval = time.Second
+
+func (r *Replica) handle(endpoint *wire.Endpoint) {
+	endpoint.HandleMessage(MethodConsensus, func(_ fleet.NodeID, body []byte) {
+		m := consensus.Message{}
+		if wire.Decode(body, &m) != nil {
+			return
+		}
+		select {
+		case r.messages <- m:
+		case <-r.ctx.Done():
+		}
+	})
+	endpoint.HandleMessage(MethodAnnounce, func(_ fleet.NodeID, body []byte) {
+		a := Announcement{}
+		if wire.Decode(body, &a) == nil {
+			r.do(func() { r.hearAnnouncement(a) })
+		}
+	})
+	endpoint.HandleCall(MethodSubmit, func(ctx context.Context, _ fleet.NodeID, body []byte) (any, error) {
+		command := Command{}
+		if err := wire.Decode(body, &command); err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+		defer cancel()
+		return r.Submit(ctx, command), nil
+	})
+	endpoint.HandleCall(MethodQuery, func(_ context.Context, _ fleet.NodeID, body []byte) (any, error) {
+		query := Query{}
+		if err := wire.Decode(body, &query); err != nil {
+			return nil, err
+		}
+		return r.Query(query), nil
+	})
+	endpoint.HandleChannel(MethodSubscribe, r.serveSubscriber)
+}
+
+// Query answers a query from this replica's state.
+func (r *Replica) Query(query Query) QueryAnswer {
+	answer := QueryAnswer{
+		Status: SubmitUnavailable,
+	}
+	r.do(func() { answer = r.query(query) })
+	return answer
+}
+
+func (r *Replica) query(query Query) QueryAnswer {
+	answer := QueryAnswer{
+		Status: SubmitDone,
+		Found:  true,
+		Leader: r.leaderAddress(),
+	}
+	if query.Status {
+		status := r.status()
+		answer.Replica = &status
+		return answer
+	}
+	if r.failed != nil || !r.core.HoldsLease(clock.Boot()) {
+		answer.Status = SubmitNotLeader
+		return answer
+	}
+	switch {
+	case query.Budget != "":
+		view, ok := r.machine.ledger.Budget(query.Budget)
+		answer.Budget = &view
+		answer.Found = ok
+	case query.Ticket != 0:
+		outcome, digest, ok := r.machine.catalog.Outcome(query.Ticket)
+		answer.Outcomes = []catalog.Outcome{outcome}
+		answer.Digest = digest
+		answer.Found = ok
+	case query.Tickets > 0:
+		answer.Outcomes = r.machine.catalog.Outcomes(query.Tickets)
+	}
+	return answer
+}
+
+func (r *Replica) status() ReplicaStatus {
+	now := clock.Boot()
+	status := ReplicaStatus{
+		Node:      r.cfg.Node,
+		Consensus: r.core.Status(),
+		HasLease:  r.failed == nil && r.core.HoldsLease(now),
+		Open:      r.open(),
+		Version:   r.machine.catalog.Version(),
+		Ledger:    r.machine.ledger.Stats(),
+		LogBytes:  r.journal.LogBytes(),
+		Nodes:     r.table.Reports(now),
+		NowMillis: clock.Wall(),
+	}
+	if r.failed != nil {
+		status.Failed = r.failed.Error()
+	}
+	return status
+}
+
+// subscriber is one entry node's channel. Its fields after notify belong to its
+// own goroutine.
+type subscriber struct {
+	holder  fleet.Holder
+	notify  chan struct{}
+	version fleet.Version
+	sent    map[fleet.NodeID]roster.Report
+	recalls chan []ledger.Recall
+	full    bool
+}
+
+// serveSubscriber receives an entry node's heartbeats and sends it updates.
+func (r *Replica) serveSubscriber(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
+	first := Heartbeat{}
+	if ch.Receive(&first) != nil {
+		return
+	}
+	s := &subscriber{
+		holder:  first.Report.Holder,
+		notify:  make(chan struct{}, 1),
+		version: first.Report.Version,
+		sent:    map[fleet.NodeID]roster.Report{},
+		recalls: make(chan []ledger.Recall, 64),
+		full:    true,
+	}
+	r.hear(first)
+	r.subscribersMu.Lock()
+	r.subscribers[s] = struct{}{}
+	r.subscribersMu.Unlock()
+	defer func() {
+		r.subscribersMu.Lock()
+		delete(r.subscribers, s)
+		r.subscribersMu.Unlock()
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		r.receiveHeartbeats(ch)
+	}()
+	r.sendUpdates(ctx, s, ch)
+	ch.Close()
+}
+
+func (r *Replica) receiveHeartbeats(ch *wire.Channel) {
+	for {
+		heartbeat := Heartbeat{}
+		if ch.Receive(&heartbeat) != nil || !r.hear(heartbeat) {
+			return
+		}
+	}
+}
+
+// hear takes in a heartbeat.
+func (r *Replica) hear(heartbeat Heartbeat) bool {
+	return r.do(func() {
+		now := clock.Boot()
+		node := heartbeat.Report.Holder.Node
+		heartbeat.Report.AgeMillis = 0
+		r.direct[node] = heartbeat.Report
+		r.directAt[node] = now
+		if r.table.Merge(heartbeat.Report, now) {
+			r.notify(effects{ending: true})
+		}
+	})
+}
+
+func (r *Replica) sendUpdates(ctx context.Context, s *subscriber, ch *wire.Channel) {
+	ticker := time.NewTicker(updateInterval)
+	defer ticker.Stop()
+	for {
+		update := Update{}
+		if !r.do(func() { update = r.update(s) }) || ch.Send(update) != nil {
+			return
+		}
+		if update.Delta != nil {
+			s.version = update.Delta.To
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.notify:
+		}
+	}
+}
+
+// update gathers what a subscriber has not been sent.
+func (r *Replica) update(s *subscriber) Update {
+	now := clock.Boot()
+	update := Update{
+		Stale:  r.failed != nil || !r.core.Fresh(now, freshWithin),
+		Leader: r.leaderAddress(),
+		Ending: r.ledgerEnding(s.holder.Node),
+	}
+	if !update.Stale && r.machine.catalog.Version() > s.version {
+		delta := r.machine.catalog.Since(s.version)
+		update.Delta = &delta
+	}
+	for _, report := range r.table.Reports(now) {
+		if sent, ok := s.sent[report.Holder.Node]; !ok || roster.Differs(sent, report) {
+			s.sent[report.Holder.Node] = report
+			update.Roster = append(update.Roster, report)
+		}
+	}
+	update.Recalls = s.takeRecalls()
+	if s.full {
+		s.full = false
+		update.Recalls = r.ledgerRecalls(s.holder)
+	}
+	return update
+}
+
+func (s *subscriber) takeRecalls() []ledger.Recall {
+	var recalls []ledger.Recall
+	for {
+		select {
+		case more := <-s.recalls:
+			recalls = append(recalls, more...)
+		default:
+			return recalls
+		}
+	}
+}
+
+// notify wakes the subscribers that an effect concerns.
+func (r *Replica) notify(e effects) {
+	r.subscribersMu.Lock()
+	defer r.subscribersMu.Unlock()
+	for s := range r.subscribers {
+		var mine []ledger.Recall
+		for _, recall := range e.recalls {
+			if recall.Holder == s.holder {
+				mine = append(mine, recall)
+			}
+		}
+		if len(mine) == 0 && !e.catalog && !e.ending {
+			continue
+		}
+		if len(mine) > 0 {
+			select {
+			case s.recalls <- mine:
+			default:
+				s.full = true
+			}
+		}
+		select {
+		case s.notify <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/lease/pool.go
@@ -0,0 +1,316 @@
+// Package lease keeps the quota that an entry node holds on lease from the
+// budgets, and decides how much more to ask for and what to give back.
+//
+// # What a node should hold
+//
+// A node that holds too little refuses callers when it is cut off, or makes each
+// request wait for the ledger. A node that holds too much strands quota: nobody
+// else can spend it while the node is silent. The pool therefore follows demand: it
+// aims at what its callers spend in the coming seconds, plus what they would spend
+// in a network partition of the configured length. The ledger grants at most a
+// share of what is still free, so that the aim shrinks as a budget runs out.
+//
+// For example, at 200 tokens/s and a partition of 20 minutes a pool aims at
+// 241,000 tokens; with a share of 100 per mille and 500,000 free, it gets 50,000.
+//
+// The package is a pure state machine; times are on the clock of the caller.
+package lease
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+)
+
+// Times of the pool.
+const (
+	// horizon is the spending that is kept at hand while connected.
+	horizon = 5 * time.Second
+	// rateWindow is the time over which spending is averaged.
+	rateWindow = 30 * time.Second
+	// resendAfter is the wait for an answer before a change is repeated.
+	resendAfter = 500 * time.Millisecond
+	// idleAfter is the time without a request after which quota is given back.
+	idleAfter = 2 * time.Minute
+	// askAgainAfter keeps a pool that got less than it wanted from asking at
+	// once again.
+	askAgainAfter = time.Second
+	// needAgainAfter is the same for a pool that got nothing while requests
+	// wait.
+	needAgainAfter = 50 * time.Millisecond
+)
+
+// Policy chooses how much a pool aims at.
+type Policy string
+
+// The policies. The last is in use; the others are baselines that measurements
+// compare it with.
+const (
+	// PolicyFixedShare aims at the ledger's share, whatever the demand, and
+	// answers no recall.
+	PolicyFixedShare Policy = "fixedShare"
+	// PolicyDemand follows demand and answers no recall.
+	PolicyDemand Policy = "demand"
+	// PolicyDemandRecall follows demand and answers recalls.
+	PolicyDemandRecall Policy = "demandRecall"
+)
+
+// Config sets up a Pool.
+type Config struct {
+	Holder        fleet.Holder
+	SharePerMille int64
+	// Partition is how long the node should be able to spend while cut off.
+	Partition time.Duration
+	Policy    Policy
+}
+
+// Pool is the quota of one holder. It is not safe for concurrent use.
+type Pool struct {
+	cfg     Config
+	budgets map[fleet.BudgetID]*quota
+}
+
+type quota struct {
+	free     fleet.Tokens
+	reserved fleet.Tokens
+	seq      uint64
+	// pending is the change that waits for its answer.
+	pending   *ledger.LeaseChange
+	pendingAt time.Duration
+	// need is what the first waiting request needs.
+	need     fleet.Tokens
+	recalled bool
+	rate     float64 // tokens for each second
+	rateAt   time.Duration
+	usedAt   time.Duration
+	askedAt  time.Duration
+	last     ledger.LeaseResult
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg:     cfg,
+		budgets: map[fleet.BudgetID]*quota{},
+	}
+}
+
+func (p *Pool) quota(budget fleet.BudgetID, now time.Duration) *quota {
+	q, ok := p.budgets[budget]
+	if !ok {
+		q = &quota{
+			rateAt:  now,
+			usedAt:  now,
+			askedAt: -askAgainAfter,
+		}
+		p.budgets[budget] = q
+	}
+	return q
+}
+
+// Reserve sets the amount aside for a request, or reports false and takes note of
+// the need.
+func (p *Pool) Reserve(budget fleet.BudgetID, amount fleet.Tokens, now time.Duration) bool {
+	q := p.quota(budget, now)
+	q.usedAt = now
+	if q.free < amount {
+		return false
+	}
+	q.free -= amount
+	q.reserved += amount
+	return true
+}
+
+// SetNeed tells what the request that waits first for this budget needs. The needs
+// of several are not added up: a sum that the budget cannot meet would be granted
+// nothing, and all would be refused where one could be served.
+func (p *Pool) SetNeed(budget fleet.BudgetID, need fleet.Tokens, now time.Duration) {
+	p.quota(budget, now).need = need
+}
+
+// Release ends a reservation of which spent was billed to the lease.
+func (p *Pool) Release(budget fleet.BudgetID, reserved, spent fleet.Tokens, now time.Duration) {
+	q := p.quota(budget, now)
+	q.reserved -= reserved
+	q.free += reserved - spent
+	q.observe(spent, now)
+}
+
+// Refund takes back quota that was held as spent but was not billed after all.
+func (p *Pool) Refund(budget fleet.BudgetID, amount fleet.Tokens, now time.Duration) {
+	p.quota(budget, now).free += amount
+}
+
+// observe averages the spending over rateWindow.
+func (q *quota) observe(spent fleet.Tokens, now time.Duration) {
+	q.decay(now)
+	q.rate += float64(spent) / rateWindow.Seconds()
+}
+
+func (q *quota) decay(now time.Duration) {
+	passed := (now - q.rateAt).Seconds()
+	if passed > 0 {
+		q.rate *= math.Exp(-passed / rateWindow.Seconds())
+		q.rateAt = now
+	}
+}
+
+// Recall takes note that the ledger wants quota back.
+func (p *Pool) Recall(budget fleet.BudgetID, now time.Duration) {
+	if p.cfg.Policy == PolicyDemandRecall {
+		p.quota(budget, now).recalled = true
+	}
+}
+
+// target is what the pool aims to hold free.
+func (p *Pool) target(q *quota, now time.Duration) fleet.Tokens {
+	if p.cfg.Policy == PolicyFixedShare {
+		return math.MaxInt64 / 4
+	}
+	q.decay(now)
+	return fleet.Tokens(q.rate * (horizon + p.cfg.Partition).Seconds())
+}
+
+// floor is the free quota below which the pool asks for more.
+func (q *quota) floor(target fleet.Tokens) fleet.Tokens {
+	return max(target/2, fleet.Tokens(q.rate*horizon.Seconds()))
+}
+
+// Changes returns the changes that must be sent now: new ones, and those that have
+// waited too long for an answer.
+func (p *Pool) Changes(now time.Duration) []ledger.LeaseChange {
+	var changes []ledger.LeaseChange
+	for _, id := range p.ids() {
+		q := p.budgets[id]
+		if q.pending == nil {
+			q.pending = p.nextChange(id, q, now)
+			q.pendingAt = now - resendAfter
+		}
+		if q.pending != nil && now-q.pendingAt >= resendAfter {
+			q.pendingAt = now
+			changes = append(changes, *q.pending)
+		}
+	}
+	return changes
+}
+
+func (p *Pool) ids() []fleet.BudgetID {
+	ids := make([]fleet.BudgetID, 0, len(p.budgets))
+	for id := range p.budgets {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// nextChange decides whether to ask, to give back, or neither. What is given back
+// leaves the pool at once: it must not be spent once the change may be under way.
+func (p *Pool) nextChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
+	if q.recalled {
+		return p.answerRecall(id, q)
+	}
+	target := p.target(q, now)
+	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	low := q.free < q.floor(target) && now-q.askedAt >= askAgainAfter
+	idle := q.free > 0 && q.need == 0 && now-q.usedAt > idleAfter
+	switch {
+	case short || low:
+		q.askedAt = now
+		change := p.change(id, q)
+		change.Need = max(q.need-q.free, 0)
+		change.Want = max(target-q.free, change.Need)
+		return change
+	case idle:
+		change := p.change(id, q)
+		change.Give = q.free
+		q.free = 0
+		return change
+	}
+	return nil
+}
+
+func (p *Pool) answerRecall(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
+	q.recalled = false
+	change := p.change(id, q)
+	change.AnswersRecall = true
+	change.Give = max(q.free-q.need, 0)
+	q.free -= change.Give
+	q.askedAt = 0
+	return change
+}
+
+func (p *Pool) change(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
+	q.seq++
+	return &ledger.LeaseChange{
+		Holder:        p.cfg.Holder,
+		Budget:        id,
+		Seq:           q.seq,
+		SharePerMille: p.cfg.SharePerMille,
+	}
+}
+
+// Answer takes in the ledger's answer. It reports false for an answer to an
+// earlier change.
+func (p *Pool) Answer(budget fleet.BudgetID, result ledger.LeaseResult) bool {
+	q, ok := p.budgets[budget]
+	if !ok || q.pending == nil || q.pending.Seq != result.Seq {
+		return false
+	}
+	q.pending = nil
+	q.free += result.Granted
+	q.last = result
+	return true
+}
+
+// Last returns the latest answer for a budget.
+func (p *Pool) Last(budget fleet.BudgetID) ledger.LeaseResult {
+	q, ok := p.budgets[budget]
+	if !ok {
+		return ledger.LeaseResult{}
+	}
+	return q.last
+}
+
+// GiveAll returns changes that give back all that is free. It is for a planned
+// stop, after the last request.
+func (p *Pool) GiveAll() []ledger.LeaseChange {
+	var changes []ledger.LeaseChange
+	for _, id := range p.ids() {
+		q := p.budgets[id]
+		if q.pending != nil || q.free == 0 {
+			continue
+		}
+		change := p.change(id, q)
+		change.Give = q.free
+		q.free = 0
+		changes = append(changes, *change)
+	}
+	return changes
+}
+
+// Holding is what a pool has of one budget.
+type Holding struct {
+	Budget   fleet.BudgetID `json:"budget"`
+	Free     fleet.Tokens   `json:"free"`
+	Reserved fleet.Tokens   `json:"reserved"`
+	// RatePerSecond is the average spending.
+	RatePerSecond float64 `json:"ratePerSecond"`
+}
+
+// Holdings returns what the pool has, in order of budget.
+func (p *Pool) Holdings() []Holding {
+	var holdings []Holding
+	for _, id := range p.ids() {
+		q := p.budgets[id]
+		holdings = append(holdings, Holding{
+			Budget:        id,
+			Free:          q.free,
+			Reserved:      q.reserved,
+			RatePerSecond: q.rate,
+		})
+	}
+	return holdings
+}
--- /dev/null
+++ b/ledger/holder.go
@@ -0,0 +1,182 @@
+package ledger
+
+import (
+	"sort"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// Join registers a node's new life. The node's earlier lives have ended; their
+// quota comes back once every other node has confirmed that it holds none of
+// their settlements. It reports false for a life older than the registered one.
+func (s *State) Join(holder fleet.Holder) bool {
+	last, known := s.holders[holder.Node]
+	if known && holder.Incarnation < last {
+		return false
+	}
+	if known && holder.Incarnation == last {
+		return true
+	}
+	s.holders[holder.Node] = holder.Incarnation
+	if known {
+		s.end(fleet.Holder{
+			Node:        holder.Node,
+			Incarnation: last,
+		})
+	}
+	return true
+}
+
+// Remove takes note that a node is destroyed and will never run again.
+func (s *State) Remove(node fleet.NodeID) {
+	last, known := s.holders[node]
+	if !known {
+		return
+	}
+	delete(s.holders, node)
+	for ended, waiting := range s.ending {
+		delete(waiting, node)
+		s.reclaimIfConfirmed(ended)
+	}
+	s.end(fleet.Holder{
+		Node:        node,
+		Incarnation: last,
+	})
+}
+
+func (s *State) end(ended fleet.Holder) {
+	waiting := map[fleet.NodeID]bool{}
+	for node := range s.holders {
+		waiting[node] = true
+	}
+	s.ending[ended] = waiting
+	s.reclaimIfConfirmed(ended)
+}
+
+// Confirm takes a node's word that it holds no settlement of an ended holder.
+func (s *State) Confirm(c ConfirmNoneHeld) {
+	if s.holders[c.By.Node] != c.By.Incarnation {
+		return
+	}
+	waiting, ok := s.ending[c.Ended]
+	if !ok {
+		return
+	}
+	delete(waiting, c.By.Node)
+	s.reclaimIfConfirmed(c.Ended)
+}
+
+func (s *State) reclaimIfConfirmed(ended fleet.Holder) {
+	if len(s.ending[ended]) > 0 {
+		return
+	}
+	delete(s.ending, ended)
+	for _, a := range s.accounts {
+		if l, ok := a.leases[ended]; ok {
+			a.leased -= l.outstanding
+			delete(a.leases, ended)
+		}
+	}
+}
+
+// Ending returns the ended holders that a node has not confirmed yet.
+func (s *State) Ending(node fleet.NodeID) []fleet.Holder {
+	var ended []fleet.Holder
+	for holder, waiting := range s.ending {
+		if waiting[node] {
+			ended = append(ended, holder)
+		}
+	}
+	sort.Slice(ended, func(i, j int) bool { return lessHolder(ended[i], ended[j]) })
+	return ended
+}
+
+// BudgetView is one budget as operators see it.
+type BudgetView struct {
+	ID      fleet.BudgetID `json:"id"`
+	Prepaid fleet.Tokens   `json:"prepaid"`
+	Settled fleet.Tokens   `json:"settled"`
+	Leased  fleet.Tokens   `json:"leased"`
+	Free    fleet.Tokens   `json:"free"`
+	Leases  []LeaseView    `json:"leases"`
+}
+
+// LeaseView is one lease as operators see it.
+type LeaseView struct {
+	Holder      fleet.Holder `json:"holder"`
+	Outstanding fleet.Tokens `json:"outstanding"`
+	Recalling   bool         `json:"recalling"`
+	// Ended says that the holder's life has ended and that its quota waits
+	// for other nodes' confirmation.
+	Ended bool `json:"ended"`
+}
+
+// Budget returns one budget.
+func (s *State) Budget(id fleet.BudgetID) (BudgetView, bool) {
+	a, ok := s.accounts[id]
+	if !ok {
+		return BudgetView{}, false
+	}
+	view := BudgetView{
+		ID:      id,
+		Prepaid: a.prepaid,
+		Settled: a.settled,
+		Leased:  a.leased,
+		Free:    a.free(),
+	}
+	for holder, l := range a.leases {
+		_, ended := s.ending[holder]
+		view.Leases = append(view.Leases, LeaseView{
+			Holder:      holder,
+			Outstanding: l.outstanding,
+			Recalling:   l.recalling,
+			Ended:       ended,
+		})
+	}
+	sort.Slice(view.Leases, func(i, j int) bool {
+		return lessHolder(view.Leases[i].Holder, view.Leases[j].Holder)
+	})
+	return view, true
+}
+
+// Stats counts the ledger's records.
+type Stats struct {
+	Budgets     int    `json:"budgets"`
+	Settlements int    `json:"settlements"`
+	Calls       int    `json:"calls"`
+	Holders     int    `json:"holders"`
+	Unbacked    uint64 `json:"unbacked"`
+}
+
+// Stats returns the present counts.
+func (s *State) Stats() Stats {
+	return Stats{
+		Budgets:     len(s.accounts),
+		Settlements: len(s.settlements),
+		Calls:       len(s.calls),
+		Holders:     len(s.holders),
+		Unbacked:    s.unbacked,
+	}
+}
+
+// Check verifies the invariant of every budget.
+func (s *State) Check() error {
+	for id, a := range s.accounts {
+		sum := fleet.Tokens(0)
+		for holder, l := range a.leases {
+			if l.outstanding < 0 {
+				return eris.Errorf("budget %s: holder %v has a negative lease of %d", id, holder, l.outstanding)
+			}
+			sum += l.outstanding
+		}
+		if sum != a.leased {
+			return eris.Errorf("budget %s: leases sum to %d, recorded %d", id, sum, a.leased)
+		}
+		if a.settled+a.leased > a.prepaid {
+			return eris.Errorf("budget %s: settled %d + leased %d > prepaid %d", id, a.settled, a.leased, a.prepaid)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/image.go
@@ -0,0 +1,212 @@
+package ledger
+
+import (
+	"sort"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// Image is the whole ledger, for snapshots, in a fixed order.
+type Image struct {
+	Now         fleet.UnixMillis  `json:"now"`
+	Unbacked    uint64            `json:"unbacked"`
+	Accounts    []AccountImage    `json:"accounts"`
+	Holders     []fleet.Holder    `json:"holders"`
+	Ending      []EndingImage     `json:"ending"`
+	Settlements []SettlementImage `json:"settlements"`
+	Calls       []CallImage       `json:"calls"`
+}
+
+// AccountImage is one budget in an Image.
+type AccountImage struct {
+	ID      fleet.BudgetID `json:"id"`
+	Prepaid fleet.Tokens   `json:"prepaid"`
+	Settled fleet.Tokens   `json:"settled"`
+	Leases  []LeaseImage   `json:"leases"`
+}
+
+// LeaseImage is one lease in an Image.
+type LeaseImage struct {
+	Holder      fleet.Holder     `json:"holder"`
+	Outstanding fleet.Tokens     `json:"outstanding"`
+	Last        LeaseResult      `json:"last"`
+	Recalling   bool             `json:"recalling"`
+	AnsweredAt  fleet.UnixMillis `json:"answeredAt"`
+}
+
+// EndingImage is one ended holder in an Image.
+type EndingImage struct {
+	Holder  fleet.Holder   `json:"holder"`
+	Waiting []fleet.NodeID `json:"waiting"`
+}
+
+// SettlementImage is one billed request in an Image.
+type SettlementImage struct {
+	Key     RequestKey       `json:"key"`
+	Tokens  fleet.Tokens     `json:"tokens"`
+	Charged fleet.Tokens     `json:"charged"`
+	Attempt uint64           `json:"attempt"`
+	Partial bool             `json:"partial,omitempty"`
+	At      fleet.UnixMillis `json:"at"`
+}
+
+// CallImage is one recorded call in an Image.
+type CallImage struct {
+	Begin    Begin            `json:"begin"`
+	State    CallState        `json:"state"`
+	Answer   *Answer          `json:"answer"`
+	Finished SettleResult     `json:"finished"`
+	At       fleet.UnixMillis `json:"at"`
+}
+
+// Image returns a copy of the whole ledger.
+func (s *State) Image() Image {
+	image := Image{
+		Now:      s.now,
+		Unbacked: s.unbacked,
+	}
+	for id, a := range s.accounts {
+		image.Accounts = append(image.Accounts, a.image(id))
+	}
+	sort.Slice(image.Accounts, func(i, j int) bool { return image.Accounts[i].ID < image.Accounts[j].ID })
+	for node, incarnation := range s.holders {
+		image.Holders = append(image.Holders, fleet.Holder{
+			Node:        node,
+			Incarnation: incarnation,
+		})
+	}
+	sort.Slice(image.Holders, func(i, j int) bool { return lessHolder(image.Holders[i], image.Holders[j]) })
+	for holder, waiting := range s.ending {
+		image.Ending = append(image.Ending, endingImage(holder, waiting))
+	}
+	sort.Slice(image.Ending, func(i, j int) bool {
+		return lessHolder(image.Ending[i].Holder, image.Ending[j].Holder)
+	})
+	for _, dated := range s.settledOrder {
+		b := s.settlements[dated.key]
+		image.Settlements = append(image.Settlements, SettlementImage{
+			Key:     dated.key,
+			Tokens:  b.tokens,
+			Charged: b.charged,
+			Attempt: b.attempt,
+			Partial: b.partial,
+			At:      dated.at,
+		})
+	}
+	for _, dated := range s.callOrder {
+		image.Calls = append(image.Calls, s.calls[dated.key].image(dated))
+	}
+	return image
+}
+
+func (a *account) image(id fleet.BudgetID) AccountImage {
+	image := AccountImage{
+		ID:      id,
+		Prepaid: a.prepaid,
+		Settled: a.settled,
+	}
+	for holder, l := range a.leases {
+		image.Leases = append(image.Leases, LeaseImage{
+			Holder:      holder,
+			Outstanding: l.outstanding,
+			Last:        l.last,
+			Recalling:   l.recalling,
+			AnsweredAt:  l.answeredAt,
+		})
+	}
+	sort.Slice(image.Leases, func(i, j int) bool {
+		return lessHolder(image.Leases[i].Holder, image.Leases[j].Holder)
+	})
+	return image
+}
+
+func endingImage(holder fleet.Holder, waiting map[fleet.NodeID]bool) EndingImage {
+	image := EndingImage{Holder: holder}
+	for node := range waiting {
+		image.Waiting = append(image.Waiting, node)
+	}
+	sort.Slice(image.Waiting, func(i, j int) bool { return image.Waiting[i] < image.Waiting[j] })
+	return image
+}
+
+func (c *call) image(dated datedKey) CallImage {
+	return CallImage{
+		Begin: Begin{
+			Key:      dated.key,
+			Budget:   c.budget,
+			Holder:   c.holder,
+			BodyHash: c.bodyHash,
+			Attempt:  c.attempt,
+		},
+		State:    c.state,
+		Answer:   c.answer,
+		Finished: c.finished,
+		At:       dated.at,
+	}
+}
+
+// FromImage rebuilds the ledger that the image was taken of.
+func FromImage(image Image) *State {
+	s := New()
+	s.now = image.Now
+	s.unbacked = image.Unbacked
+	for _, a := range image.Accounts {
+		s.accounts[a.ID] = accountFromImage(a)
+	}
+	for _, holder := range image.Holders {
+		s.holders[holder.Node] = holder.Incarnation
+	}
+	for _, e := range image.Ending {
+		waiting := map[fleet.NodeID]bool{}
+		for _, node := range e.Waiting {
+			waiting[node] = true
+		}
+		s.ending[e.Holder] = waiting
+	}
+	for _, b := range image.Settlements {
+		s.settlements[b.Key] = billed{
+			tokens:  b.Tokens,
+			charged: b.Charged,
+			attempt: b.Attempt,
+			partial: b.Partial,
+		}
+		s.settledOrder = append(s.settledOrder, datedKey{
+			key: b.Key,
+			at:  b.At,
+		})
+	}
+	for _, c := range image.Calls {
+		s.restoreCall(c)
+	}
+	return s
+}
+
+func accountFromImage(image AccountImage) *account {
+	a := &account{
+		prepaid: image.Prepaid,
+		settled: image.Settled,
+		leases:  map[fleet.Holder]*lease{},
+	}
+	for _, l := range image.Leases {
+		a.leases[l.Holder] = &lease{
+			outstanding: l.Outstanding,
+			last:        l.Last,
+			recalling:   l.Recalling,
+			answeredAt:  l.AnsweredAt,
+		}
+		a.leased += l.Outstanding
+	}
+	return a
+}
+
+func (s *State) restoreCall(image CallImage) {
+	c := newCall(image.Begin)
+	c.state = image.State
+	c.answer = image.Answer
+	c.finished = image.Finished
+	s.calls[image.Begin.Key] = c
+	s.callOrder = append(s.callOrder, datedKey{
+		key: image.Begin.Key,
+		at:  image.At,
+	})
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,44 @@
+// Package retry bounds retries, so that a fault does not turn into a flood.
+package retry
+
+// Budget allows retries in proportion to first attempts. With a ratio of 0.1, a
+// hundred requests pay for ten retries; without a bound, three attempts for each
+// request would treble the load on servers that fail under load.
+//
+// Budget is not safe for concurrent use.
+type Budget struct {
+	ratio float64
+	burst float64
+	saved float64
+}
+
+// Config sets up a Budget.
+type Config struct {
+	// Ratio is how many retries each request pays for.
+	Ratio float64
+	// Burst is how many retries can be saved up.
+	Burst float64
+}
+
+// New returns a budget with a full burst.
+func New(cfg Config) *Budget {
+	return &Budget{
+		ratio: cfg.Ratio,
+		burst: cfg.Burst,
+		saved: cfg.Burst,
+	}
+}
+
+// Request counts a first attempt.
+func (b *Budget) Request() {
+	b.saved = min(b.saved+b.ratio, b.burst)
+}
+
+// Retry reports whether a retry is allowed, and counts it if so.
+func (b *Budget) Retry() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,262 @@
+package settings
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// minSecretBytes bounds the fleet's secret from below.
+const minSecretBytes = 16
+
+// source finds the lines of a settings file's fields.
+type source struct {
+	path string
+	text []byte
+	root hujson.Value
+}
+
+// problem places a fault at a field, named as in "/listen/wire". Where the field
+// is absent, its parent is named.
+func (s source) problem(pointer, reason, hint string) Problem {
+	line := 1
+	for at := pointer; ; at = at[:strings.LastIndexByte(at, '/')] {
+		if value := s.root.Find(at); value != nil {
+			line = s.line(value.StartOffset)
+			break
+		}
+		if at == "" {
+			break
+		}
+	}
+	return Problem{
+		File:   s.path,
+		Line:   line,
+		Field:  strings.ReplaceAll(strings.TrimPrefix(pointer, "/"), "/", "."),
+		Reason: reason,
+		Hint:   hint,
+	}
+}
+
+func (s source) line(offset int) int {
+	offset = min(offset, len(s.text))
+	return 1 + strings.Count(string(s.text[:offset]), "\n")
+}
+
+var (
+	lineInError  = regexp.MustCompile(`line (\d+)`)
+	unknownField = regexp.MustCompile(`unknown field "([^"]*)"`)
+)
+
+func lineOfError(err error) int {
+	found := lineInError.FindStringSubmatch(err.Error())
+	if found == nil {
+		return 1
+	}
+	line, _ := strconv.Atoi(found[1])
+	return line
+}
+
+// decodeProblem places an error of the JSON decoder.
+func (s source) decodeProblem(err error) Problem {
+	wrong := (*json.UnmarshalTypeError)(nil)
+	if errors.As(err, &wrong) {
+		pointer := "/" + strings.ReplaceAll(wrong.Field, ".", "/")
+		return s.problem(pointer, fmt.Sprintf("is a %s, want %s", wrong.Value, wrong.Type), "")
+	}
+	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
+		pointer := pointerOf(s.root, "", found[1])
+		return s.problem(pointer, "is no known field", "see docs/OPERATING.md for the fields; names are camelCase and case counts")
+	}
+	return s.problem("", err.Error(), "")
+}
+
+// pointerOf finds a member by its name, anywhere in the file.
+func pointerOf(value hujson.Value, at, name string) string {
+	switch v := value.Value.(type) {
+	case *hujson.Object:
+		for _, member := range v.Members {
+			key := member.Name.Value.(hujson.Literal).String()
+			if key == name {
+				return at + "/" + key
+			}
+			if found := pointerOf(member.Value, at+"/"+key, name); found != "" {
+				return found
+			}
+		}
+	case *hujson.Array:
+		for i, element := range v.Elements {
+			if found := pointerOf(element, fmt.Sprintf("%s/%d", at, i), name); found != "" {
+				return found
+			}
+		}
+	}
+	return ""
+}
+
+// checker collects the problems of one file.
+type checker struct {
+	source
+	problems Problems
+}
+
+func (c *checker) add(pointer, reason, hint string) {
+	c.problems = append(c.problems, c.problem(pointer, reason, hint))
+}
+
+func (s *Settings) check(located source) Problems {
+	c := &checker{source: located}
+	if s.Node == "" {
+		c.add("/node", "is missing", "give each VM a name of its own")
+	}
+	if s.DataCentre == "" {
+		c.add("/dataCentre", "is missing", "name the data centre the VM stands in")
+	}
+	if s.Control == nil && s.Entry == nil {
+		c.add("/", "the node has no role", `add "control": {...}, "entry": {...} or both`)
+	}
+	c.addresses(s)
+	c.secret(s)
+	c.operatorKeys(s)
+	c.controlNodes(s)
+	if s.Control != nil {
+		c.control(s)
+	}
+	if s.Entry != nil {
+		c.entry(s.Entry)
+	}
+	return c.problems
+}
+
+func (c *checker) addresses(s *Settings) {
+	c.address("/listen/wire", s.Listen.Wire)
+	c.address("/listen/operators", s.Listen.Operators)
+	if s.Entry != nil {
+		c.address("/listen/callers", s.Listen.Callers)
+	}
+	if s.Listen.Callers.IsValid() && s.Listen.Callers == s.Listen.Operators {
+		c.add("/listen/operators", "is the callers' address", "operators and callers need listeners of their own")
+	}
+}
+
+func (c *checker) address(pointer string, address netip.AddrPort) {
+	switch {
+	case !address.IsValid():
+		c.add(pointer, "is missing", "an IP address with a port, for example 10.0.0.5:7100")
+	case address.Addr().IsUnspecified():
+		c.add(pointer, fmt.Sprintf("%s is no address that others can reach", address), "name the VM's own IP address")
+	}
+}
+
+func (c *checker) secret(s *Settings) {
+	if (s.FleetSecret == "") == (s.FleetSecretFile == "") {
+		c.add("/fleetSecret", "exactly one of fleetSecret and fleetSecretFile is needed", "")
+		return
+	}
+	if s.FleetSecretFile != "" {
+		text, err := os.ReadFile(s.FleetSecretFile)
+		if err != nil {
+			c.add("/fleetSecretFile", err.Error(), "")
+			return
+		}
+		s.FleetSecret = strings.TrimSpace(string(text))
+	}
+	if len(s.FleetSecret) < minSecretBytes {
+		c.add("/fleetSecret", fmt.Sprintf("has fewer than %d characters", minSecretBytes), "make one with: openssl rand -hex 32")
+	}
+}
+
+func (c *checker) operatorKeys(s *Settings) {
+	if len(s.OperatorKeys) == 0 {
+		c.add("/operatorKeys", "is empty", "make a key and its sum with: waxwingreel key")
+	}
+	for i, key := range s.OperatorKeys {
+		sum, err := hex.DecodeString(key)
+		if err != nil || len(sum) != len(fleet.Digest{}) {
+			c.add(fmt.Sprintf("/operatorKeys/%d", i), "is no SHA-256 sum in hexadecimal", "make one with: waxwingreel key")
+		}
+	}
+}
+
+func (c *checker) controlNodes(s *Settings) {
+	if len(s.ControlNodes) == 0 {
+		c.add("/controlNodes", "is empty", "list the VMs that carry the control state: one, three or five")
+	}
+	if len(s.ControlNodes)%2 == 0 && len(s.ControlNodes) > 0 {
+		c.add("/controlNodes", fmt.Sprintf("lists %d nodes", len(s.ControlNodes)), "an odd number survives as many losses as the next even one")
+	}
+	names := map[fleet.NodeID]bool{}
+	wires := map[netip.AddrPort]bool{}
+	for i, node := range s.ControlNodes {
+		at := fmt.Sprintf("/controlNodes/%d", i)
+		c.address(at+"/wire", node.Wire)
+		if names[node.Node] {
+			c.add(at+"/node", fmt.Sprintf("%q stands twice", node.Node), "each VM has a name of its own")
+		}
+		if wires[node.Wire] {
+			c.add(at+"/wire", fmt.Sprintf("%s stands twice", node.Wire), "")
+		}
+		names[node.Node] = true
+		wires[node.Wire] = true
+		if node.Node == s.Node && node.Wire != s.Listen.Wire {
+			c.add(at+"/wire", fmt.Sprintf("%s is not this node's listen.wire %s", node.Wire, s.Listen.Wire), "")
+		}
+	}
+}
+
+func (c *checker) control(s *Settings) {
+	if s.Control.DataFolder == "" {
+		c.add("/control/dataFolder", "is missing", "name the folder on the VM's disk that keeps the state")
+		return
+	}
+	parent := filepath.Dir(filepath.Clean(s.Control.DataFolder))
+	if info, err := os.Stat(parent); err != nil || !info.IsDir() {
+		c.add("/control/dataFolder", fmt.Sprintf("its parent folder %s does not exist", parent), "create it, or mount the disk")
+	}
+	if !s.Control.Bootstrap {
+		return
+	}
+	for _, node := range s.ControlNodes {
+		if node.Node == s.Node {
+			return
+		}
+	}
+	c.add("/control/bootstrap", "is set on a node that controlNodes does not list", "set it on exactly one listed node")
+}
+
+func (c *checker) entry(e *Entry) {
+	c.inRange("/entry/leaseSharePerMille", e.LeaseSharePerMille, 1, 1000)
+	c.inRange("/entry/partitionMinutes", e.PartitionMinutes, 1, 600)
+	c.inRange("/entry/directorySeconds", e.DirectorySeconds, 1, 300)
+	c.inRange("/entry/stopSeconds", e.StopSeconds, 1, 3600)
+	c.inRange("/entry/maxBodyBytes", e.MaxBodyBytes, 1024, 64<<20)
+	c.inRange("/entry/queueLength", int64(e.QueueLength), 1, 1_000_000)
+	c.inRange("/entry/maxInFlight", int64(e.MaxInFlight), 1, 1_000_000)
+	for i, level := range e.ServiceLevels {
+		at := fmt.Sprintf("/entry/serviceLevels/%d", i)
+		if !level.Class.Valid() {
+			c.add(at+"/class", fmt.Sprintf("%q is no class", level.Class), "use lookup, interactive or long")
+		}
+		if !level.Tier.Valid() {
+			c.add(at+"/tier", fmt.Sprintf("%q is no tier", level.Tier), "use paying or trial")
+		}
+		c.inRange(at+"/answeredPerMille", level.AnsweredPerMille, 1, 999)
+	}
+}
+
+func (c *checker) inRange(pointer string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(pointer, fmt.Sprintf("%d is outside %d to %d", value, low, high), "")
+	}
+}
--- /dev/null
+++ b/uplink/uplink.go
@@ -0,0 +1,402 @@
+// Package uplink links an entry node to the control group: it follows the
+// configuration and the roster over a subscription to one control replica, and
+// hands commands to the group's leader.
+package uplink
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// Times of the link.
+const (
+	// silence is the time without an update after which another replica is
+	// tried. Updates come at least each second.
+	silence = 2500 * time.Millisecond
+	// stalePatience is how long a stale replica is kept when no other is at
+	// hand.
+	stalePatience = 2 * time.Second
+	retryPause    = 50 * time.Millisecond
+	attemptTime   = 1500 * time.Millisecond
+)
+
+// ErrUnavailable means that a command was certainly not carried out.
+var ErrUnavailable = eris.New("uplink: the control group cannot be reached")
+
+// ErrUnknown means that a command may or may not have been carried out.
+var ErrUnknown = eris.New("uplink: no answer from the control group in time")
+
+// Handler hears what concerns this node's leases.
+type Handler interface {
+	Recalled(recalls []ledger.Recall)
+	Ending(holders []fleet.Holder)
+}
+
+// Store keeps the configuration across restarts.
+type Store interface {
+	Load() (catalog.Delta, bool)
+	Save(whole catalog.Delta) error
+}
+
+// Config sets up a Link.
+type Config struct {
+	Holder   fleet.Holder
+	Endpoint *wire.Endpoint
+	// Replicas are the addresses of the control nodes, nearest first.
+	Replicas []netip.AddrPort
+	// Report returns what the node says of itself.
+	Report func() roster.Report
+	// Store may be nil, on a node without a disk.
+	Store Store
+	Log   *event.Log
+}
+
+// Link is an entry node's link to the control group.
+type Link struct {
+	cfg      Config
+	handler  atomic.Pointer[Handler]
+	view     atomic.Pointer[catalog.View]
+	reports  atomic.Pointer[[]roster.Report]
+	leader   atomic.Pointer[netip.AddrPort]
+	fresh    atomic.Bool
+	rejected atomic.Bool
+	beat     chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+}
+
+// New loads the stored configuration and starts the link.
+func New(cfg Config) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{
+		cfg:    cfg,
+		beat:   make(chan struct{}, 1),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	l.view.Store(catalog.NewView())
+	l.reports.Store(&[]roster.Report{})
+	l.leader.Store(&netip.AddrPort{})
+	if cfg.Store != nil {
+		if whole, ok := cfg.Store.Load(); ok {
+			l.adopt(whole)
+		}
+	}
+	l.wait.Go(func() { l.follow() })
+	return l
+}
+
+// SetHandler sets who hears of recalls and ended holders.
+func (l *Link) SetHandler(h Handler) {
+	l.handler.Store(&h)
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.cancel()
+	l.wait.Wait()
+}
+
+// View returns the configuration in force on this node.
+func (l *Link) View() *catalog.View {
+	return l.view.Load()
+}
+
+// Roster returns the latest known reports of all nodes.
+func (l *Link) Roster() []roster.Report {
+	return *l.reports.Load()
+}
+
+// Fresh reports whether the node hears from a control replica that hears from its
+// leader.
+func (l *Link) Fresh() bool {
+	return l.fresh.Load()
+}
+
+// Rejected reports whether a later life of this node is registered, so that this
+// one must not spend.
+func (l *Link) Rejected() bool {
+	return l.rejected.Load()
+}
+
+// Beat sends a heartbeat at once, because the node's report has changed.
+func (l *Link) Beat() {
+	select {
+	case l.beat <- struct{}{}:
+	default:
+	}
+}
+
+// adopt puts a delta in force, unless it would lead back to an earlier version.
+func (l *Link) adopt(delta catalog.Delta) bool {
+	next, ok := l.view.Load().With(delta)
+	if ok {
+		l.view.Store(next)
+	}
+	return ok
+}
+
+// follow keeps a subscription to one replica after another.
+func (l *Link) follow() {
+	for i := 0; l.ctx.Err() == nil; i++ {
+		address := l.cfg.Replicas[i%len(l.cfg.Replicas)]
+		if err := l.subscribe(address); err != nil && l.ctx.Err() == nil {
+			l.cfg.Log.Warn(event.ControlLost).Str("replica", address.String()).Err(err).Msg("subscription ended")
+		}
+		l.fresh.Store(false)
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (l *Link) subscribe(address netip.AddrPort) error {
+	ctx, cancel := context.WithCancel(l.ctx)
+	defer cancel()
+	dialCtx, dialCancel := context.WithTimeout(ctx, attemptTime)
+	ch, err := l.cfg.Endpoint.Open(dialCtx, address, control.MethodSubscribe)
+	dialCancel()
+	if err != nil {
+		return err
+	}
+	defer ch.Close()
+	heartbeats := sync.WaitGroup{}
+	heartbeats.Go(func() {
+		l.sendHeartbeats(ctx, ch)
+		ch.Close()
+	})
+	defer heartbeats.Wait()
+	defer cancel()
+	return l.receiveUpdates(address, ch)
+}
+
+func (l *Link) sendHeartbeats(ctx context.Context, ch *wire.Channel) {
+	ticker := time.NewTicker(roster.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		report := l.cfg.Report()
+		report.Version = l.View().Version
+		if ch.Send(control.Heartbeat{Report: report}) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.beat:
+		}
+	}
+}
+
+// receiveUpdates reads updates until the replica is silent, or is stale while
+// another may be better.
+func (l *Link) receiveUpdates(address netip.AddrPort, ch *wire.Channel) error {
+	known := map[fleet.NodeID]roster.Report{}
+	staleSince := time.Time{}
+	for {
+		watchdog := time.AfterFunc(silence, ch.Close)
+		update := control.Update{}
+		err := ch.Receive(&update)
+		watchdog.Stop()
+		if err != nil {
+			return err
+		}
+		l.takeUpdate(address, update, known)
+		if !update.Stale {
+			staleSince = time.Time{}
+			continue
+		}
+		if staleSince.IsZero() {
+			staleSince = time.Now()
+		}
+		if time.Since(staleSince) > stalePatience && len(l.cfg.Replicas) > 1 {
+			return eris.Errorf("uplink: replica %s has no leader", address)
+		}
+	}
+}
+
+func (l *Link) takeUpdate(address netip.AddrPort, update control.Update, known map[fleet.NodeID]roster.Report) {
+	if !update.Stale && !l.fresh.Swap(true) {
+		l.cfg.Log.Info(event.ControlConnected).Str("replica", address.String()).Msg("follows a control replica")
+	}
+	if update.Stale {
+		l.fresh.Store(false)
+	}
+	if update.Leader.IsValid() {
+		leader := update.Leader
+		l.leader.Store(&leader)
+	}
+	if update.Delta != nil && l.adopt(*update.Delta) {
+		l.inForce()
+	}
+	if len(update.Roster) > 0 {
+		l.takeRoster(update.Roster, known)
+	}
+	handler := l.handler.Load()
+	if handler == nil {
+		return
+	}
+	if len(update.Recalls) > 0 {
+		(*handler).Recalled(update.Recalls)
+	}
+	if len(update.Ending) > 0 {
+		(*handler).Ending(update.Ending)
+	}
+}
+
+// inForce stores the configuration and says at once that it is in force.
+func (l *Link) inForce() {
+	view := l.View()
+	if l.cfg.Store != nil {
+		whole := catalog.Delta{
+			To:      view.Version,
+			Objects: view.Objects(),
+		}
+		if err := l.cfg.Store.Save(whole); err != nil {
+			l.cfg.Log.Error(event.NodeFailed).Err(err).Msg("cannot store the configuration")
+		}
+	}
+	l.cfg.Log.Info(event.ConfigInForce).Uint64("version", uint64(view.Version)).Msg("configuration in force")
+	l.Beat()
+}
+
+func (l *Link) takeRoster(rows []roster.Report, known map[fleet.NodeID]roster.Report) {
+	for _, row := range rows {
+		known[row.Holder.Node] = row
+	}
+	reports := make([]roster.Report, 0, len(known))
+	for _, row := range known {
+		reports = append(reports, row)
+	}
+	slices.SortFunc(reports, func(a, b roster.Report) int {
+		if a.Holder.Node < b.Holder.Node {
+			return -1
+		}
+		return 1
+	})
+	l.reports.Store(&reports)
+}
+
+// Submit hands a command to the leader and waits for its result until ctx ends.
+// Commands are idempotent, so that one whose answer was lost is sent again.
+func (l *Link) Submit(ctx context.Context, command control.Command) (control.Result, error) {
+	unknown := false
+	var last error
+	for i := 0; ctx.Err() == nil; i++ {
+		answer, err := l.submitOnce(ctx, l.target(i), command)
+		switch {
+		case err != nil:
+			// The command may have arrived even if the answer did not.
+			unknown = true
+			last = err
+		case answer.Status == control.SubmitDone:
+			return answer.Result, nil
+		case answer.Status == control.SubmitNotLeader && answer.Leader.IsValid():
+			leader := answer.Leader
+			if leader != l.target(i) && i < 8 {
+				l.leader.Store(&leader)
+				continue
+			}
+		case answer.Status == control.SubmitUnknown:
+			unknown = true
+			last = eris.New(answer.Reason)
+		default:
+			last = eris.New(answer.Reason)
+		}
+		l.leader.Store(&netip.AddrPort{})
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	if unknown {
+		return control.Result{}, eris.Wrapf(ErrUnknown, "%v", last)
+	}
+	return control.Result{}, eris.Wrapf(ErrUnavailable, "%v", last)
+}
+
+func (l *Link) submitOnce(ctx context.Context, address netip.AddrPort, command control.Command) (control.SubmitAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	answer := control.SubmitAnswer{}
+	err := l.cfg.Endpoint.Call(ctx, address, control.MethodSubmit, command, &answer)
+	return answer, err
+}
+
+// target returns the leader, or one control node after another while the leader is
+// not known.
+func (l *Link) target(attempt int) netip.AddrPort {
+	if leader := *l.leader.Load(); leader.IsValid() {
+		return leader
+	}
+	return l.cfg.Replicas[attempt%len(l.cfg.Replicas)]
+}
+
+// Query asks the leader for a part of the state.
+func (l *Link) Query(ctx context.Context, query control.Query) (control.QueryAnswer, error) {
+	var last error = ErrUnavailable
+	for i := 0; ctx.Err() == nil; i++ {
+		answer, err := l.QueryReplica(ctx, l.target(i), query)
+		if err == nil && answer.Status == control.SubmitDone {
+			return answer, nil
+		}
+		if err != nil {
+			last = err
+		}
+		if err == nil && answer.Leader.IsValid() {
+			leader := answer.Leader
+			l.leader.Store(&leader)
+		} else {
+			l.leader.Store(&netip.AddrPort{})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	return control.QueryAnswer{}, eris.Wrap(last, "uplink: query")
+}
+
+// QueryReplica asks one control node.
+func (l *Link) QueryReplica(ctx context.Context, address netip.AddrPort, query control.Query) (control.QueryAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	answer := control.QueryAnswer{}
+	err := l.cfg.Endpoint.Call(ctx, address, control.MethodQuery, query, &answer)
+	return answer, err
+}
+
+// Replicas returns the addresses of the control nodes.
+func (l *Link) Replicas() []netip.AddrPort {
+	return l.cfg.Replicas
+}
+
+// Join registers this life of the node and returns once that is done, or when ctx
+// ends.
+func (l *Link) Join(ctx context.Context) error {
+	result, err := l.Submit(ctx, control.Command{Join: &ledger.Join{Holder: l.cfg.Holder}})
+	if err != nil {
+		return err
+	}
+	if !result.Joined {
+		l.rejected.Store(true)
+		return eris.Errorf("uplink: a later life of node %s is registered; another process may run under this name, or the clock went back", l.cfg.Holder.Node)
+	}
+	return nil
+}
