--- a/consensus/election.go
+++ b/consensus/election.go
@@ -159,20 +159,13 @@
 	}
 }
 
-// Transfer asks the most advanced voter to take over, and ends the lease at once:
+// Transfer asks a voter that holds the whole log to take over, and ends the lease at once:
 // the vote that follows does not wait for the lease to run out.
 func (c *Core) Transfer() bool {
 	if c.role != RoleLeader || c.transferring {
 		return false
 	}
-	target := ReplicaID(0)
-	for _, r := range c.members.Replicas {
-		p := c.progress[r.ID]
-		if !r.Voter || p == nil || p.match < c.log.lastIndex() {
-			continue
-		}
-		target = r.ID
-	}
+	target := c.mostAdvanced()
 	if target == 0 {
 		return false
 	}
@@ -184,3 +177,14 @@
 	})
 	return true
 }
+
+// mostAdvanced returns a voter that holds the whole log, or 0.
+func (c *Core) mostAdvanced() ReplicaID {
+	for _, r := range c.members.Replicas {
+		p := c.progress[r.ID]
+		if r.Voter && p != nil && p.match >= c.log.lastIndex() {
+			return r.ID
+		}
+	}
+	return 0
+}
