--- a/billing/billing.go
+++ b/billing/billing.go
@@ -102,6 +102,10 @@
 	held      []ledger.Settlement
 	ending    []fleet.Holder
 	doubtTill time.Time
+	// confirmed lists the ended holders that this node has answered for. It
+	// takes no more of their settlements: one that was long under way would
+	// come after the ledger has given the quota to others.
+	confirmed map[fleet.Holder]bool
 }
 
 // New opens the held settlements and starts to hand them in.
@@ -112,6 +116,8 @@
 		ctx:    ctx,
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
+
+		confirmed: map[fleet.Holder]bool{},
 	}
 	if cfg.Disk != nil {
 		if err := r.openQueue(); err != nil {
@@ -277,6 +283,9 @@
 	if err := wire.Decode(body, &batch); err != nil {
 		return nil, err
 	}
+	if r.answeredFor(batch.Settlements) {
+		return false, nil
+	}
 	if err := r.keep(batch.Settlements); err != nil {
 		return nil, err
 	}
@@ -284,6 +293,12 @@
 	return true, nil
 }
 
+func (r *Recorder) answeredFor(settlements []ledger.Settlement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(settlements, func(s ledger.Settlement) bool { return r.confirmed[s.Holder] })
+}
+
 // handIn brings the held settlements to the ledger, oldest first.
 func (r *Recorder) handIn() {
 	for r.ctx.Err() == nil {
@@ -356,6 +371,7 @@
 	for _, ended := range ending {
 		holds := slices.ContainsFunc(r.held, func(s ledger.Settlement) bool { return s.Holder == ended })
 		if !holds {
+			r.confirmed[ended] = true
 			clean = append(clean, ended)
 		}
 	}
--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -17,6 +17,7 @@
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "20261204")
+		_ = flag.Set("rapid.checks", "400")
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,253 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+		_ = flag.Set("rapid.checks", "300")
+	}
+	os.Exit(m.Run())
+}
+
+func servers(n, slots int) []catalog.BackendServer {
+	var list []catalog.BackendServer
+	for i := range n {
+		list = append(list, catalog.BackendServer{
+			ID:      fleet.BackendServerID(fmt.Sprintf("s%04d", i)),
+			Address: "127.0.0.1:1",
+			Slots:   slots,
+		})
+	}
+	return list
+}
+
+func nodes(n int) []fleet.NodeID {
+	var list []fleet.NodeID
+	for i := range n {
+		list = append(list, fleet.NodeID(fmt.Sprintf("n%04d", i)))
+	}
+	return list
+}
+
+func ids(list []catalog.BackendServer) map[fleet.BackendServerID]bool {
+	set := map[fleet.BackendServerID]bool{}
+	for _, s := range list {
+		set[s.ID] = true
+	}
+	return set
+}
+
+// TestSubsetsCoverEvenly checks the bound of Subset's comment for fleets of any
+// size: every server is used by an even share of the nodes, give or take two.
+func TestSubsetsCoverEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := servers(rapid.IntRange(2, 300).Draw(t, "servers"), 1)
+		fleetNodes := nodes(rapid.IntRange(1, 120).Draw(t, "nodes"))
+		size := rapid.IntRange(1, len(all)).Draw(t, "size")
+		used := map[fleet.BackendServerID]int{}
+		for _, n := range fleetNodes {
+			subset := Subset(n, fleetNodes, all, size)
+			if got, want := len(ids(subset)), size; got != want {
+				t.Fatalf("node %s uses %d servers, want %d", n, got, want)
+			}
+			for _, s := range subset {
+				used[s.ID]++
+			}
+		}
+		share := len(fleetNodes) * size / len(all)
+		for _, s := range all {
+			if got := used[s.ID]; got < share-2 || got > share+3 {
+				t.Errorf("server %s is used by %d nodes, want about %d", s.ID, got, share)
+			}
+		}
+	})
+}
+
+// TestSubsetsMoveLittle lets one node of many go.
+func TestSubsetsMoveLittle(t *testing.T) {
+	all := servers(2800, 1)
+	before := nodes(660)
+	after := append(append([]fleet.NodeID{}, before[:100]...), before[101:]...)
+	moved := 0
+	for _, n := range after {
+		old := ids(Subset(n, before, all, 38))
+		for id := range ids(Subset(n, after, all, 38)) {
+			if !old[id] {
+				moved++
+			}
+		}
+	}
+	// A place moves by at most 2800/660 servers, and half of that on average.
+	if got, most := float64(moved)/float64(len(after)), 2800.0/660+1; got > most {
+		t.Errorf("each node took %.2f new servers, want at most %.2f", got, most)
+	}
+}
+
+func TestLeavingServerGetsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := servers(4, 4)
+		table := New(Config{Nodes: 1})
+		table.SetServers(all)
+		now := time.Duration(0)
+		left := map[fleet.BackendServerID]bool{}
+		listed := all
+		var running []fleet.BackendServerID
+		request := Request{
+			Class: fleet.ClassLookup,
+			Tier:  fleet.TierPaying,
+			Cost:  10,
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(*rapid.T) {
+				if s, ok := table.Pick(request, now); ok {
+					if left[s.ID] {
+						t.Fatalf("leaving server %s got new work", s.ID)
+					}
+					running = append(running, s.ID)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				if len(running) > 0 {
+					table.Finish(running[0], request, rapid.SampledFrom([]Outcome{OutcomeOK, OutcomeBusy, OutcomeSlow, OutcomeNeutral}).Draw(t, "outcome"), now)
+					running = running[1:]
+				}
+			},
+			"refusesAsLeaving": func(*rapid.T) {
+				if len(running) > 0 {
+					left[running[0]] = true
+					table.Finish(running[0], request, OutcomeLeaving, now)
+					running = running[1:]
+				}
+			},
+			"reportsLeaving": func(t *rapid.T) {
+				i := rapid.IntRange(0, 3).Draw(t, "server")
+				left[all[i].ID] = true
+				table.Report(all[i].ID, LoadReport{Leaving: true}, now)
+			},
+			"ticket": func(t *rapid.T) {
+				i := rapid.IntRange(0, 3).Draw(t, "server")
+				all[i].Leaving = true
+				left[all[i].ID] = true
+				table.SetServers(listed)
+			},
+			"removed": func(t *rapid.T) {
+				left[all[3].ID] = true
+				listed = all[:3]
+				table.SetServers(listed)
+			},
+			"staleReport": func(t *rapid.T) {
+				// Load reports lag: this one was taken before the server
+				// began to leave.
+				i := rapid.IntRange(0, 3).Draw(t, "server")
+				table.Report(all[i].ID, LoadReport{Age: 5 * time.Second}, now)
+			},
+			"wait": func(*rapid.T) { now += 100 * time.Millisecond },
+		})
+	})
+}
+
+func TestServerThatStaysIsUsedAgain(t *testing.T) {
+	table := New(Config{Nodes: 1})
+	table.SetServers(servers(1, 4))
+	table.Report("s0000", LoadReport{Leaving: true}, time.Second)
+	if got := table.Usable(time.Second); got != 0 {
+		t.Errorf("got %d usable servers while the only one is leaving, want 0", got)
+	}
+	table.Report("s0000", LoadReport{}, 2*time.Second+leavingHold)
+	if got := table.Usable(2*time.Second + leavingHold); got != 1 {
+		t.Errorf("got %d usable servers after a fresh report that it stays, want 1", got)
+	}
+}
+
+// TestRoomIsKeptForPayingAndShort fills a server with trial and with long work.
+func TestRoomIsKeptForPayingAndShort(t *testing.T) {
+	check := func(name string, flood, kept Request) {
+		t.Run(name, func(t *testing.T) {
+			table := New(Config{Nodes: 1})
+			table.SetServers(servers(1, 10))
+			for {
+				if _, ok := table.Pick(flood, 0); !ok {
+					break
+				}
+			}
+			if _, ok := table.Pick(kept, 0); !ok {
+				t.Errorf("no room was left")
+			}
+		})
+	}
+	check("trial", Request{
+		Tier:  fleet.TierTrial,
+		Class: fleet.ClassInteractive,
+	}, Request{
+		Tier:  fleet.TierPaying,
+		Class: fleet.ClassInteractive,
+	})
+	check("long", Request{
+		Tier:  fleet.TierPaying,
+		Class: fleet.ClassLong,
+	}, Request{
+		Tier:  fleet.TierPaying,
+		Class: fleet.ClassLookup,
+	})
+}
+
+// TestWrongHintsAreForgotten gives a server a prefix that it does not keep.
+func TestWrongHintsAreForgotten(t *testing.T) {
+	table := New(Config{Nodes: 1})
+	table.SetServers(servers(2, 100))
+	request := Request{
+		Tier:        fleet.TierPaying,
+		Class:       fleet.ClassInteractive,
+		Cost:        1000,
+		Prefixes:    []PrefixHash{1, 2, 3},
+		BlockTokens: 200,
+	}
+	first, _ := table.Pick(request, 0)
+	for range 5 {
+		again, _ := table.Pick(request, 0)
+		if again.ID != first.ID {
+			t.Fatalf("got server %s, want %s, which holds the prefix", again.ID, first.ID)
+		}
+		table.Finish(again.ID, request, OutcomeOK, 0)
+	}
+	table.Missed(first.ID, request.Prefixes)
+	table.CacheEvent("s0001", 3, true, 0)
+	table.CacheEvent("s0000", 3, true, 0)
+	if got := table.hints[3].server; got != "s0001" {
+		t.Errorf("got hint for %s, want the first word to stand while it is fresh", got)
+	}
+	table.CacheEvent("s0001", 3, false, 0)
+	if _, ok := table.hints[3]; ok {
+		t.Errorf("a dropped prefix is still expected")
+	}
+}
+
+// TestOldReportsCountLess keeps a server that was busy long ago in the choice.
+func TestOldReportsCountLess(t *testing.T) {
+	table := New(Config{Nodes: 1})
+	table.SetServers(servers(1, 10))
+	table.Report("s0000", LoadReport{Active: 30}, 0)
+	request := Request{
+		Tier:  fleet.TierPaying,
+		Class: fleet.ClassLookup,
+	}
+	if _, ok := table.Pick(request, 0); ok {
+		t.Errorf("a server that reports 30 requests for 10 slots got more")
+	}
+	if _, ok := table.Pick(request, 5*time.Second); !ok {
+		t.Errorf("a report of 5 s ago still keeps the server out")
+	}
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -18,6 +18,9 @@
 	suspectTime = 2 * time.Second
 	// maxSuspectTime bounds the same after repeated failures.
 	maxSuspectTime = 15 * time.Second
+	// leavingHold is how much newer than the word that a server is leaving a
+	// report must be to be believed that it stays: reports lag.
+	leavingHold = 3 * time.Second
 	// hintLife is how long a prefix is expected to stay in a server's cache.
 	hintLife = 60 * time.Second
 )
@@ -97,9 +100,11 @@
 	// reported is the load of others at the time of the latest report.
 	reported   float64
 	reportedAt time.Duration
-	leaving    bool
-	failures   int
-	suspect    time.Duration
+	// leaving servers get no new work; leavingAt is when that was last heard.
+	leaving   bool
+	leavingAt time.Duration
+	failures  int
+	suspect   time.Duration
 }
 
 type hint struct {
@@ -158,7 +163,17 @@
 	}
 	s.reported = max(0, float64(report.Active+report.Queued-s.outstanding))
 	s.reportedAt = now - report.Age
-	s.leaving = report.Leaving
+	switch {
+	case report.Leaving:
+		s.leave(now)
+	case s.reportedAt > s.leavingAt+leavingHold:
+		s.leaving = false
+	}
+}
+
+func (s *server) leave(now time.Duration) {
+	s.leaving = true
+	s.leavingAt = now
 }
 
 // others estimates the load that other nodes put on a server: the reported one,
@@ -404,7 +419,7 @@
 	case OutcomeSlow, OutcomeBusy:
 		s.limit = max(1, s.limit*0.9)
 	case OutcomeLeaving:
-		s.leaving = true
+		s.leave(now)
 	case OutcomeFailed:
 		s.failures++
 		pause := suspectTime << min(s.failures-1, 3)
