--- a/node/node.go
+++ b/node/node.go
@@ -105,9 +105,10 @@
 func (n *Node) open() error {
 	s := n.cfg.Settings
 	endpoint, err := wire.New(wire.Config{
-		Node:   s.Node,
-		Listen: s.Listen.Wire,
-		Secret: s.FleetSecret,
+		Node:      s.Node,
+		Listen:    s.Listen.Wire,
+		Advertise: s.Advertise.Wire,
+		Secret:    s.FleetSecret,
 	})
 	if err != nil {
 		return err
@@ -194,11 +195,11 @@
 		Seq:        n.seq.Add(1),
 		State:      n.state.Load().(roster.State),
 		DataCentre: s.DataCentre,
-		Wire:       s.Listen.Wire,
+		Wire:       s.Advertise.Wire,
 		Control:    s.Control != nil,
 	}
 	if serving := n.serving.Load(); serving != nil && n.joined.Load() {
-		report.Callers = s.Listen.Callers
+		report.Callers = s.Advertise.Callers
 		report.LoadPerMille = serving.LoadPerMille()
 	}
 	return report
--- /dev/null
+++ b/prove/fleet_test.go
@@ -0,0 +1,584 @@
+package prove
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/operator"
+	"github.com/waxwingreel/waxwingreel/relay"
+	"github.com/waxwingreel/waxwingreel/settings"
+	"github.com/waxwingreel/waxwingreel/standin"
+)
+
+const (
+	operatorKey = "prove-operator-key"
+	payingKey   = "paying-key"
+	trialKey    = "trial-key"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(build(m))
+}
+
+// build builds the program once for all cases.
+func build(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "waxwingreel-prove-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "waxwingreel")
+	arguments := []string{"build", "-o", binary, "../cmd/waxwingreel"}
+	if out, err := exec.Command("go", arguments...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func sum(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// shape is what a fleet looks like.
+type shape struct {
+	nodes       int
+	control     int
+	dataCentres int
+	engines     int
+	slots       int
+	services    int
+	delay       time.Duration
+	paying      fleet.Tokens
+	trial       fleet.Tokens
+	tokenTime   time.Duration
+	work        time.Duration
+	stopSeconds int64
+}
+
+// process is one node's process with its relays.
+type process struct {
+	name     string
+	settings settings.Settings
+	path     string
+	logPath  string
+	command  *exec.Cmd
+	exited   chan struct{}
+	callers  *relay.TCP
+}
+
+// server is a stand-in behind its relay.
+type server struct {
+	id      fleet.BackendServerID
+	engine  *standin.Engine
+	service *standin.Service
+	relay   *relay.TCP
+	address netip.AddrPort
+}
+
+// testFleet is a running fleet of processes.
+type testFleet struct {
+	t       *testing.T
+	shape   shape
+	folder  string
+	network *relay.Network
+	nodes   []*process
+	servers []*server
+	ticket  fleet.TicketNumber
+	objects catalog.Ticket
+	mu      sync.Mutex
+}
+
+func freeAddress(t *testing.T, network string) netip.AddrPort {
+	t.Helper()
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newFleet(t *testing.T, s shape, seed uint64) *testFleet {
+	f := &testFleet{
+		t:       t,
+		shape:   s,
+		folder:  t.TempDir(),
+		network: relay.NewNetwork(seed),
+	}
+	f.network.SetCommon(relay.Faults{Delay: s.delay})
+	for i := range s.nodes {
+		f.addNode(fmt.Sprintf("n%d", i+1), i)
+	}
+	var listed []settings.ControlNode
+	for _, p := range f.nodes[:s.control] {
+		listed = append(listed, settings.ControlNode{
+			Node: p.settings.Node,
+			Wire: p.settings.Advertise.Wire,
+		})
+	}
+	for i, p := range f.nodes {
+		p.settings.ControlNodes = listed
+		if i < s.control {
+			p.settings.Control = &settings.Control{
+				DataFolder: filepath.Join(f.folder, "data-"+p.name),
+				Bootstrap:  i == 0,
+			}
+		}
+		f.writeSettings(p)
+	}
+	for i := range s.engines {
+		f.addServer(fleet.BackendServerID(fmt.Sprintf("engine-%d", i+1)), true)
+	}
+	for i := range s.services {
+		f.addServer(fleet.BackendServerID(fmt.Sprintf("service-%d", i+1)), false)
+	}
+	t.Cleanup(f.close)
+	for _, p := range f.nodes {
+		f.start(p)
+	}
+	f.configure()
+	f.awaitReady(20 * time.Second)
+	return f
+}
+
+func (f *testFleet) addNode(name string, i int) {
+	p := &process{
+		name:    name,
+		path:    filepath.Join(f.folder, name+".jsonc"),
+		logPath: filepath.Join(f.folder, name+".log"),
+		settings: settings.Settings{
+			Node:       fleet.NodeID(name),
+			DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", i%f.shape.dataCentres+1)),
+			Listen: settings.Listen{
+				Wire:      freeAddress(f.t, "udp"),
+				Callers:   freeAddress(f.t, "tcp"),
+				Operators: freeAddress(f.t, "tcp"),
+			},
+			Advertise: settings.Advertise{
+				Wire:    freeAddress(f.t, "udp"),
+				Callers: freeAddress(f.t, "tcp"),
+			},
+			FleetSecret:  "a secret for tests only",
+			OperatorKeys: []string{sum(operatorKey)},
+			Entry: &settings.Entry{
+				DirectorySeconds: 1,
+				StopSeconds:      f.shape.stopSeconds,
+			},
+		},
+	}
+	f.network.Name(p.settings.Listen.Wire, name)
+	udp, err := relay.NewUDP(f.network, name, p.settings.Advertise.Wire, p.settings.Listen.Wire)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(udp.Close)
+	p.callers, err = relay.NewTCP(f.network, relay.Pair{
+		From: "callers",
+		To:   name,
+	}, p.settings.Advertise.Callers, p.settings.Listen.Callers)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.callers.Close)
+	f.nodes = append(f.nodes, p)
+}
+
+func (f *testFleet) writeSettings(p *process) {
+	text, err := json.MarshalIndent(p.settings, "", "  ")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.path, text, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *testFleet) addServer(id fleet.BackendServerID, engine bool) {
+	s := &server{
+		id:      id,
+		address: freeAddress(f.t, "tcp"),
+	}
+	handler := http.Handler(nil)
+	if engine {
+		s.engine = standin.NewEngine(standin.EngineConfig{
+			Name:            string(id),
+			Slots:           f.shape.slots,
+			QueueLength:     4 * f.shape.slots,
+			TokenTime:       f.shape.tokenTime,
+			PromptTime:      10 * time.Millisecond,
+			CacheBlocks:     1024,
+			LoadLag:         300 * time.Millisecond,
+			ChecksOrders:    len(f.servers)%2 == 0,
+			LoseCacheEvents: 7,
+		})
+		handler = s.engine
+	} else {
+		s.service = standin.NewService(standin.ServiceConfig{
+			Name: string(id),
+			Work: f.shape.work,
+		})
+		handler = s.service
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	httpServer := &http.Server{Handler: handler}
+	go func() { _ = httpServer.Serve(listener) }()
+	f.t.Cleanup(func() { _ = httpServer.Close() })
+	s.relay, err = relay.NewTCP(f.network, relay.Pair{
+		From: "nodes",
+		To:   string(id),
+	}, s.address, listener.Addr().(*net.TCPAddr).AddrPort())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(s.relay.Close)
+	f.servers = append(f.servers, s)
+}
+
+func (f *testFleet) node(name string) *process {
+	for _, p := range f.nodes {
+		if p.name == name {
+			return p
+		}
+	}
+	f.t.Fatalf("no node %s", name)
+	return nil
+}
+
+func (f *testFleet) server(id string) *server {
+	for _, s := range f.servers {
+		if string(s.id) == id {
+			return s
+		}
+	}
+	f.t.Fatalf("no backend server %s", id)
+	return nil
+}
+
+// start starts a node's process; its log goes on in the same file.
+func (f *testFleet) start(p *process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.command != nil {
+		return
+	}
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	command := exec.Command(binary, "serve", "--settings", p.path)
+	command.Stderr = log
+	command.Stdout = log
+	if err := command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	p.command = command
+	p.exited = make(chan struct{})
+	exited := p.exited
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+}
+
+// signal sends a signal to a node's process.
+func (f *testFleet) signal(p *process, s syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// end sends a signal that ends the process, and waits for it. It returns the exit
+// code, -1 for a process that a signal ended.
+func (f *testFleet) end(p *process, s syscall.Signal, limit time.Duration) int {
+	f.mu.Lock()
+	command, exited := p.command, p.exited
+	f.mu.Unlock()
+	if command == nil {
+		return 0
+	}
+	_ = command.Process.Signal(s)
+	select {
+	case <-exited:
+	case <-time.After(limit):
+		f.t.Errorf("node %s did not end within %s", p.name, limit)
+		_ = command.Process.Kill()
+		<-exited
+	}
+	f.mu.Lock()
+	p.command = nil
+	f.mu.Unlock()
+	return command.ProcessState.ExitCode()
+}
+
+func (f *testFleet) close() {
+	for _, p := range f.nodes {
+		f.signal(p, syscall.SIGCONT)
+		f.end(p, syscall.SIGKILL, 5*time.Second)
+	}
+	if !f.t.Failed() {
+		return
+	}
+	for _, p := range f.nodes {
+		text, err := os.ReadFile(p.logPath)
+		if err == nil {
+			f.t.Logf("log of %s:\n%s", p.name, tail(text, 6000))
+		}
+	}
+}
+
+func tail(text []byte, n int) []byte {
+	return text[max(0, len(text)-n):]
+}
+
+// configure applies the ticket that sets the fleet up.
+func (f *testFleet) configure() {
+	add := func(body catalog.Body) {
+		f.objects.Changes = append(f.objects.Changes, catalog.Change{Body: body})
+	}
+	add(catalog.Body{Workspace: &catalog.Workspace{
+		ID: "w",
+		Keys: []catalog.AccessKey{
+			{
+				SHA256: sum(payingKey),
+				Tier:   fleet.TierPaying,
+				Budget: "paying",
+			},
+			{
+				SHA256: sum(trialKey),
+				Tier:   fleet.TierTrial,
+				Budget: "trial",
+			},
+		},
+	}})
+	add(catalog.Body{Budget: f.budgetObject("paying", f.shape.paying)})
+	add(catalog.Body{Budget: f.budgetObject("trial", f.shape.trial)})
+	add(catalog.Body{Model: &catalog.Model{
+		ID:               "m",
+		Version:          "1",
+		MaxOutput:        4096,
+		MaxPrompt:        100_000,
+		LongPromptTokens: 4000,
+	}})
+	add(catalog.Body{Service: &catalog.Service{
+		ID: "registry",
+		Calls: []catalog.ServiceCall{
+			{
+				Method: http.MethodPost,
+				Path:   "/changes",
+				Class:  fleet.ClassInteractive,
+				Price:  callPrice,
+			},
+			{
+				Method:     http.MethodPost,
+				Path:       "/lookups",
+				Idempotent: true,
+				Class:      fleet.ClassLookup,
+				Price:      callPrice,
+			},
+		},
+	}})
+	for _, s := range f.servers {
+		add(catalog.Body{BackendServer: f.serverObject(s)})
+	}
+	f.mustApply(f.objects.Changes)
+}
+
+const callPrice fleet.Tokens = 5
+
+func (f *testFleet) budgetObject(id fleet.BudgetID, prepaid fleet.Tokens) *catalog.Budget {
+	return &catalog.Budget{
+		ID:        id,
+		Workspace: "w",
+		Tier:      fleet.Tier(id),
+		Prepaid:   prepaid,
+	}
+}
+
+func (f *testFleet) serverObject(s *server) *catalog.BackendServer {
+	object := &catalog.BackendServer{
+		ID:           s.id,
+		Address:      s.address.String(),
+		DataCentre:   "dc1",
+		Slots:        f.shape.slots,
+		ChecksOrders: s.engine != nil,
+	}
+	if s.engine != nil {
+		object.Models = []fleet.ModelID{"m"}
+	} else {
+		object.Service = "registry"
+	}
+	return object
+}
+
+// mustApply applies changes under the next ticket number, through any node.
+func (f *testFleet) mustApply(changes []catalog.Change) operator.TicketAnswer {
+	f.ticket++
+	ticket := catalog.Ticket{
+		Number:  f.ticket,
+		Changes: changes,
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		for _, p := range f.nodes {
+			if p.command == nil {
+				continue
+			}
+			answer := operator.TicketAnswer{}
+			status, err := f.put(p, ticket, &answer)
+			if err == nil && status == http.StatusOK {
+				return answer
+			}
+			if err == nil && status == http.StatusUnprocessableEntity {
+				f.t.Fatalf("ticket %d: %v", ticket.Number, answer.Outcome.Problems)
+			}
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("ticket %d was not taken in time", ticket.Number)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) put(p *process, ticket catalog.Ticket, answer *operator.TicketAnswer) (int, error) {
+	text, err := json.Marshal(ticket)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.admin(p, http.MethodPut, fmt.Sprintf("/v1/tickets/%d?waitMillis=4000", ticket.Number), text, answer)
+}
+
+// admin asks a node's operators' interface.
+func (f *testFleet) admin(p *process, method, path string, body []byte, answer any) (int, error) {
+	request, err := http.NewRequest(method, "http://"+p.settings.Listen.Operators.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	client := http.Client{Timeout: 15 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, json.Unmarshal(text, answer)
+}
+
+func (f *testFleet) ready(p *process) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + p.settings.Listen.Operators.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all started nodes are ready and the group is whole.
+func (f *testFleet) awaitReady(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for _, p := range f.nodes {
+		for p.command != nil && !f.ready(p) {
+			if time.Now().After(deadline) {
+				f.t.Fatalf("node %s is not ready after %s", p.name, limit)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	for !f.whole() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("the control group is not whole after %s: %+v", limit, f.status())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// whole reports whether every control node has a voter, and no other member is
+// left.
+func (f *testFleet) whole() bool {
+	for _, r := range f.status().Replicas {
+		if r.HasLease {
+			members := r.Consensus.Members
+			return members.Voters() == f.shape.control && len(members.Replicas) == f.shape.control
+		}
+	}
+	return false
+}
+
+func (f *testFleet) status() operator.Status {
+	for _, p := range f.nodes {
+		status := operator.Status{}
+		if p.command == nil {
+			continue
+		}
+		if code, err := f.admin(p, http.MethodGet, "/v1/status", nil, &status); err == nil && code == http.StatusOK && len(status.Replicas) > 0 {
+			return status
+		}
+	}
+	return operator.Status{}
+}
+
+func (f *testFleet) budget(id fleet.BudgetID) operator.BudgetAnswer {
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, p := range f.nodes {
+			answer := operator.BudgetAnswer{}
+			if p.command == nil {
+				continue
+			}
+			if code, err := f.admin(p, http.MethodGet, "/v1/budgets/"+string(id), nil, &answer); err == nil && code == http.StatusOK {
+				return answer
+			}
+		}
+	}
+	f.t.Fatalf("no node told of budget %s", id)
+	return operator.BudgetAnswer{}
+}
+
+func (f *testFleet) seeds() []string {
+	var seeds []string
+	for _, p := range f.nodes {
+		seeds = append(seeds, p.settings.Advertise.Callers.String())
+	}
+	return seeds
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -209,8 +209,8 @@
 		}
 		names[node.Node] = true
 		wires[node.Wire] = true
-		if node.Node == s.Node && node.Wire != s.Listen.Wire {
-			c.add(at+"/wire", fmt.Sprintf("%s is not this node's listen.wire %s", node.Wire, s.Listen.Wire), "")
+		if node.Node == s.Node && node.Wire != s.Advertise.Wire {
+			c.add(at+"/wire", fmt.Sprintf("%s is not this node's own address %s", node.Wire, s.Advertise.Wire), "")
 		}
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,9 @@
 	Node       fleet.NodeID     `json:"node"`
 	DataCentre fleet.DataCentre `json:"dataCentre"`
 	Listen     Listen           `json:"listen"`
+	// Advertise holds the addresses that others use, where they differ from
+	// those that the node listens on.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// FleetSecret is shared by all nodes of the fleet; FleetSecretFile names a
 	// file that holds it instead.
 	FleetSecret     string `json:"fleetSecret,omitempty"`
@@ -41,6 +44,12 @@
 	Operators netip.AddrPort `json:"operators"`
 }
 
+// Advertise holds the addresses that others use to reach the node.
+type Advertise struct {
+	Wire    netip.AddrPort `json:"wire,omitzero"`
+	Callers netip.AddrPort `json:"callers,omitzero"`
+}
+
 // ControlNode is one VM that may carry a control replica.
 type ControlNode struct {
 	Node fleet.NodeID   `json:"node"`
@@ -197,6 +206,12 @@
 }
 
 func (s *Settings) fillDefaults() {
+	if !s.Advertise.Wire.IsValid() {
+		s.Advertise.Wire = s.Listen.Wire
+	}
+	if !s.Advertise.Callers.IsValid() {
+		s.Advertise.Callers = s.Listen.Callers
+	}
 	e := s.Entry
 	if e == nil {
 		return
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -56,6 +56,9 @@
 	Node fleet.NodeID
 	// Listen is the UDP address of this process.
 	Listen netip.AddrPort
+	// Advertise is the address that others use; where it is not valid, that is
+	// the address listened on.
+	Advertise netip.AddrPort
 	// Secret is the fleet's shared secret.
 	Secret string
 }
@@ -175,8 +178,11 @@
 	e.wait.Wait()
 }
 
-// Address returns the address that the endpoint listens on.
+// Address returns the address that others use.
 func (e *Endpoint) Address() netip.AddrPort {
+	if e.cfg.Advertise.IsValid() {
+		return e.cfg.Advertise
+	}
 	return e.socket.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
