--- a/billing/billing.go
+++ b/billing/billing.go
@@ -106,6 +106,8 @@
 	// takes no more of their settlements: one that was long under way would
 	// come after the ledger has given the quota to others.
 	confirmed map[fleet.Holder]bool
+	// avoid names the nodes that could not be reached, until when.
+	avoid map[fleet.NodeID]time.Time
 }
 
 // New opens the held settlements and starts to hand them in.
@@ -118,6 +120,7 @@
 		wake:   make(chan struct{}, 1),
 
 		confirmed: map[fleet.Holder]bool{},
+		avoid:     map[fleet.NodeID]time.Time{},
 	}
 	if cfg.Disk != nil {
 		if err := r.openQueue(); err != nil {
@@ -205,36 +208,52 @@
 	r.doubtTill = time.Now().Add(doubtPeriod)
 }
 
-// hold copies the settlement to another node and keeps it.
+// hold copies the settlement to another node and keeps it. A node that reaches no
+// other keeps it on its own synced disk, if it has one.
 func (r *Recorder) hold(ctx context.Context, s ledger.Settlement) (ledger.SettleResult, error) {
 	batch := ledger.Settle{Settlements: []ledger.Settlement{s}}
+	copied := r.copyToPeer(ctx, batch)
+	if err := r.keep(batch.Settlements); err != nil {
+		return ledger.SettleResult{}, err
+	}
+	if !copied && r.queue == nil {
+		return ledger.SettleResult{}, ErrNotRecorded
+	}
+	heldCount.Add(1)
+	return ledger.SettleResult{
+		Status:  ledger.SettledNow,
+		Billed:  s.Tokens,
+		Charged: s.Tokens,
+	}, nil
+}
+
+func (r *Recorder) copyToPeer(ctx context.Context, batch ledger.Settle) bool {
 	for _, candidate := range r.candidates() {
 		attempt, cancel := context.WithTimeout(ctx, holdPatience)
 		kept := false
 		err := r.cfg.Peers.Call(attempt, candidate.Wire, MethodHold, batch, &kept)
 		cancel()
-		if err != nil || !kept {
-			continue
+		if err == nil && kept {
+			return true
 		}
-		if err := r.keep(batch.Settlements); err != nil {
-			return ledger.SettleResult{}, err
+		if err != nil {
+			r.mu.Lock()
+			r.avoid[candidate.Holder.Node] = time.Now().Add(doubtPeriod)
+			r.mu.Unlock()
 		}
-		heldCount.Add(1)
-		return ledger.SettleResult{
-			Status:  ledger.SettledNow,
-			Billed:  s.Tokens,
-			Charged: s.Tokens,
-		}, nil
 	}
-	return ledger.SettleResult{}, ErrNotRecorded
+	return false
 }
 
 // candidates lists the live nodes, those in other data centres and those with a
 // disk first.
 func (r *Recorder) candidates() []roster.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var candidates []roster.Report
 	for _, report := range r.cfg.Ledger.Roster() {
-		if report.Holder.Node != r.cfg.Holder.Node && report.State != roster.StateDead {
+		node := report.Holder.Node
+		if node != r.cfg.Holder.Node && report.State != roster.StateDead && time.Now().After(r.avoid[node]) {
 			candidates = append(candidates, report)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -29,6 +29,8 @@
 	// Caller distinguishes callers of one workspace, so that a busy one is
 	// spread over several nodes.
 	Caller string
+	// Last names a node to put last.
+	Last fleet.NodeID
 }
 
 // Entry is one entry node in a caller's list.
@@ -67,6 +69,9 @@
 }
 
 func compare(q Query, a, b roster.Report) int {
+	if la, lb := a.Holder.Node == q.Last, b.Holder.Node == q.Last; la != lb {
+		return order(lb)
+	}
 	if oa, ob := a.LoadPerMille >= overloadLoad, b.LoadPerMille >= overloadLoad; oa != ob {
 		return order(ob)
 	}
--- a/load/audit.go
+++ b/load/audit.go
@@ -109,7 +109,7 @@
 	}
 	n := runs[o.ID.String()]
 	switch {
-	case n > 1:
+	case n > 1 && o.AtMostOnce:
 		r.broke("call %s (%s) ran %d times", o.ID, o.Kind, n)
 	case o.Answered && n == 0:
 		r.broke("call %s (%s) was answered but never ran", o.ID, o.Kind)
--- a/load/mix.go
+++ b/load/mix.go
@@ -20,6 +20,9 @@
 	Note string `json:"note,omitempty"`
 	// RatePerSecond is the rate of arrivals, whatever becomes of them.
 	RatePerSecond float64 `json:"ratePerSecond"`
+	// Workspaces is how many workspaces share the load. A "*" in a kind's key
+	// stands for the workspace's number, from 1.
+	Workspaces int `json:"workspaces,omitempty"`
 	// Phases change the rate over time; without any it stays the same.
 	Phases []Phase `json:"phases,omitempty"`
 	Kinds  []Kind  `json:"kinds"`
@@ -46,6 +49,8 @@
 	MaxTokens    fleet.Tokens    `json:"maxTokens,omitempty"`
 	Service      fleet.ServiceID `json:"service,omitempty"`
 	Path         string          `json:"path,omitempty"`
+	// AtMostOnce marks calls that may not run twice.
+	AtMostOnce bool `json:"atMostOnce,omitempty"`
 }
 
 // ReadMix reads a mix from a file in JSON with comments.
--- a/load/run.go
+++ b/load/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,11 +35,13 @@
 
 // Outcome is what became of one request.
 type Outcome struct {
-	ID       fleet.RequestID `json:"id"`
-	Kind     string          `json:"kind"`
-	Key      string          `json:"-"`
-	Service  bool            `json:"service,omitempty"`
-	Answered bool            `json:"answered"`
+	ID      fleet.RequestID `json:"id"`
+	Kind    string          `json:"kind"`
+	Key     string          `json:"-"`
+	Service bool            `json:"service,omitempty"`
+	// AtMostOnce is true for a call that may not run twice.
+	AtMostOnce bool `json:"atMostOnce,omitempty"`
+	Answered   bool `json:"answered"`
 	// Refusal is the type of the last refusal; "broken" stands for an answer
 	// that broke off or never came.
 	Refusal  string       `json:"refusal,omitempty"`
@@ -70,12 +73,8 @@
 		clients: map[string]*caller.Client{},
 	}
 	for _, k := range cfg.Mix.Kinds {
-		if r.clients[k.Key] == nil {
-			r.clients[k.Key] = caller.New(caller.Config{
-				Seeds:    cfg.Seeds,
-				Key:      k.Key,
-				Attempts: cfg.Attempts,
-			})
+		for w := range max(cfg.Mix.Workspaces, 1) {
+			r.addClient(workspaceKey(k.Key, w+1))
 		}
 	}
 	requests := sync.WaitGroup{}
@@ -101,6 +100,21 @@
 	return r.outcomes
 }
 
+func workspaceKey(pattern string, workspace int) string {
+	return strings.ReplaceAll(pattern, "*", itoa(workspace))
+}
+
+func (r *runner) addClient(key string) {
+	if r.clients[key] != nil {
+		return
+	}
+	r.clients[key] = caller.New(caller.Config{
+		Seeds:    r.cfg.Seeds,
+		Key:      key,
+		Attempts: r.cfg.Attempts,
+	})
+}
+
 func (r *runner) rate(at time.Duration) float64 {
 	rate := r.cfg.Mix.RatePerSecond
 	if r.cfg.Rate > 0 {
@@ -124,6 +138,7 @@
 	for _, k := range r.cfg.Mix.Kinds {
 		at -= k.Share
 		if at < 0 {
+			k.Key = workspaceKey(k.Key, 1+rng.IntN(max(r.cfg.Mix.Workspaces, 1)))
 			return k
 		}
 	}
@@ -137,6 +152,8 @@
 		Key:     kind.Key,
 		Service: kind.Service != "",
 		At:      at,
+
+		AtMostOnce: kind.AtMostOnce,
 	}
 	if o.Service {
 		r.call(ctx, kind, &o)
