Orders to engines with fencing; a cut-off node names the others first

Orders: a planner diffs what engines have loaded against the configuration, meters loads against the weight store, and waits out an earlier leader before engines that check no fences.

Consensus: the random test let a replica campaign at once after it had answered its leader, and found two leases: a candidate's own vote breaks the promise as any other does. The core now refuses to campaign in that time; before, only the driver's timing kept it safe.

Directory: a node cut off from all others took them for dead and named only itself. It now names them first.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -455,15 +455,19 @@
 		c := newCluster(t, rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters"), randomRate(t))
 		c.run(3 * time.Second)
 		pick := func() *testReplica {
-			live := c.live()
-			if len(live) == 0 {
-				t.Skip("no replica is up")
+			if len(c.live()) == 0 {
+				for id := ReplicaID(1); id <= c.nextID; id++ {
+					if r := c.replicas[id]; r != nil {
+						c.start(r)
+					}
+				}
 			}
+			live := c.live()
 			return live[rapid.IntRange(0, len(live)-1).Draw(t, "replica")]
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"advance": func(t *rapid.T) {
-				c.advance(time.Duration(rapid.IntRange(5, 400).Draw(t, "ms")) * time.Millisecond)
+				c.advance(time.Duration(rapid.SampledFrom([]int{5, 50, 110, 400, 950}).Draw(t, "ms")) * time.Millisecond)
 			},
 			"deliver": func(t *rapid.T) {
 				for range rapid.IntRange(1, 12).Draw(t, "messages") {
@@ -475,7 +479,7 @@
 					c.deliver(i, kind == 0, kind == 1)
 				}
 			},
-			"run":     func(t *rapid.T) { c.run(time.Duration(rapid.IntRange(20, 1500).Draw(t, "ms")) * time.Millisecond) },
+			"run":     func(t *rapid.T) { c.run(time.Duration(rapid.SampledFrom([]int{20, 200, 1500}).Draw(t, "ms")) * time.Millisecond) },
 			"propose": func(*rapid.T) { c.propose() },
 			"proposeMany": func(*rapid.T) {
 				for range 20 {
@@ -488,7 +492,7 @@
 				if r.core.IsLeader() {
 					r.core.Propose([]byte("unsynced"))
 				}
-				r.core.Tick(r.clock(c.now + time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms"))*time.Millisecond))
+				r.core.Tick(r.clock(c.now + time.Duration(rapid.SampledFrom([]int{0, 500, 1100, 2500}).Draw(t, "ms"))*time.Millisecond))
 				c.settle(r, true)
 			},
 			"restart": func(t *rapid.T) {
@@ -511,7 +515,7 @@
 			"campaign": func(t *rapid.T) {
 				// Nothing may depend on how patient a candidate is.
 				r := pick()
-				c.now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond
+				c.now += time.Duration(rapid.SampledFrom([]int{0, 100, 600, 1050}).Draw(t, "ms")) * time.Millisecond
 				r.core.Tick(r.clock(c.now))
 				if me, ok := r.core.Members().Find(r.id); ok && me.Voter && !r.core.IsLeader() {
 					r.core.campaign(false)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -8,6 +8,11 @@
 // stopping, an election.
 func (c *Core) campaign(forced bool) {
 	c.resetDeadline()
+	if !forced && c.refusesVotes() {
+		// The replica's own vote counts too: it promised the leader not to
+		// give it yet.
+		return
+	}
 	c.leader = 0
 	c.forced = forced
 	c.votes = map[ReplicaID]bool{c.cfg.ID: true}
--- a/control/replica.go
+++ b/control/replica.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -94,6 +95,9 @@
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
 
+	targets        []orders.Target
+	targetsVersion fleet.Version
+
 	subscribersMu sync.Mutex
 	subscribers   map[*subscriber]struct{}
 	appliedCount  atomic.Uint64
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -300,9 +300,7 @@
 		}
 	}
 	if !s.cfg.Link.Fresh() {
-		// A node that has lost the control group cannot tell who is alive;
-		// its callers are better off with any other.
-		q.Last = s.cfg.Holder.Node
+		q.Doubtful = s.cfg.Holder.Node
 	}
 	return c.JSON(http.StatusOK, entriesBody{
 		Entries:    directory.Order(q, s.cfg.Link.Roster()),
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/operator"
+	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/settings"
 	"github.com/waxwingreel/waxwingreel/uplink"
@@ -64,6 +65,7 @@
 	folder   *journal.Folder
 	endpoint *wire.Endpoint
 	replica  *control.Replica
+	issuer   *orders.Issuer
 	link     *uplink.Link
 	entry    *entry.Server
 	// serving is the entry server once it can be asked for its load.
@@ -144,7 +146,15 @@
 		Endpoint:  n.endpoint,
 		Log:       n.cfg.Log,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	n.issuer = orders.NewIssuer(orders.IssuerConfig{
+		Planner:    orders.Config{LoadsPerMinute: s.Control.LoadsPerMinute},
+		Leadership: n.replica,
+		Log:        n.cfg.Log,
+	})
+	return nil
 }
 
 func controlPeers(s settings.Settings) []control.Peer {
--- a/node/stop.go
+++ b/node/stop.go
@@ -82,6 +82,9 @@
 	if n.link != nil {
 		n.link.Close()
 	}
+	if n.issuer != nil {
+		n.issuer.Close()
+	}
 	if n.replica != nil {
 		n.replica.Close()
 	}
--- a/prove/case_test.go
+++ b/prove/case_test.go
@@ -282,6 +282,7 @@
 //	away SERVER                 cut a backend server off
 //	leave SERVER                make a backend server leave
 //	topUp TOKENS                set all paying budgets' prepaid amounts by ticket
+//	version V                   set the model's version by ticket
 //	race N M                    two operators send two tickets of one number
 //	restartAll                  a rolling restart by planned stops
 func (f *testFleet) act(words []string) {
@@ -330,6 +331,8 @@
 	case "topUp":
 		n, _ := strconv.Atoi(words[1])
 		f.topUp(fleet.Tokens(n))
+	case "version":
+		f.mustApply([]catalog.Change{{Body: catalog.Body{Model: modelObject(words[1])}}})
 	case "race":
 		f.race(f.node(words[1]), f.node(words[2]))
 	case "restartAll":
@@ -486,6 +489,8 @@
 			for w := 1; w <= workspaces; w++ {
 				got = max(got, int(f.budget(f.budgets(w)[0].ID).Free))
 			}
+		case "enginesBehind":
+			got = f.enginesBehind(words[1])
 		case "slowestMillis":
 			for _, o := range outcomes {
 				if o.Answered {
@@ -500,3 +505,43 @@
 		}
 	}
 }
+
+// enginesBehind waits for the engines to load a version and returns how many have
+// not. It also checks that no engine went back to an earlier version.
+func (f *testFleet) enginesBehind(version string) int {
+	behind := 0
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		behind = 0
+		for _, s := range f.servers {
+			if s.engine != nil && s.lastLoaded() != version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, s := range f.servers {
+		if s.engine == nil {
+			continue
+		}
+		last := ""
+		for _, order := range s.engine.Orders() {
+			if order.Version < last {
+				f.t.Errorf("%s loaded version %s after %s", s.id, order.Version, last)
+			}
+			last = order.Version
+		}
+	}
+	return behind
+}
+
+func (s *server) lastLoaded() string {
+	orders := s.engine.Orders()
+	if len(orders) == 0 {
+		return ""
+	}
+	return orders[len(orders)-1].Version
+}
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -98,6 +98,8 @@
 	service *standin.Service
 	relay   *relay.TCP
 	address netip.AddrPort
+	// checks tells whether an engine checks its orders' fences.
+	checks bool
 }
 
 // testFleet is a running fleet of processes.
@@ -229,6 +231,7 @@
 func (f *testFleet) addServer(id fleet.BackendServerID, engine bool) {
 	s := &server{
 		id:      id,
+		checks:  len(f.servers)%2 == 0,
 		address: freeAddress(f.t, "tcp"),
 	}
 	handler := http.Handler(nil)
@@ -241,7 +244,7 @@
 			PromptTime:      10 * time.Millisecond,
 			CacheBlocks:     1024,
 			LoadLag:         300 * time.Millisecond,
-			ChecksOrders:    len(f.servers)%2 == 0,
+			ChecksOrders:    s.checks,
 			LoseCacheEvents: 7,
 		})
 		handler = s.engine
@@ -377,13 +380,7 @@
 	for w := 1; w <= workspaces; w++ {
 		f.addWorkspace(w, add)
 	}
-	add(catalog.Body{Model: &catalog.Model{
-		ID:               "m",
-		Version:          "1",
-		MaxOutput:        4096,
-		MaxPrompt:        100_000,
-		LongPromptTokens: 4000,
-	}})
+	add(catalog.Body{Model: modelObject("1")})
 	add(catalog.Body{Service: &catalog.Service{
 		ID: "registry",
 		Calls: []catalog.ServiceCall{
@@ -408,6 +405,16 @@
 	f.mustApply(f.objects.Changes)
 }
 
+func modelObject(version string) *catalog.Model {
+	return &catalog.Model{
+		ID:               "m",
+		Version:          version,
+		MaxOutput:        4096,
+		MaxPrompt:        100_000,
+		LongPromptTokens: 4000,
+	}
+}
+
 const callPrice fleet.Tokens = 5
 
 // addWorkspace adds workspace w1, w2, ... with a paying and a trial budget.
@@ -453,7 +460,7 @@
 		Address:      s.address.String(),
 		DataCentre:   "dc1",
 		Slots:        f.shape.slots,
-		ChecksOrders: s.engine != nil,
+		ChecksOrders: s.checks,
 	}
 	if s.engine != nil {
 		object.Models = []fleet.ModelID{"m"}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,6 +61,9 @@
 	DataFolder string `json:"dataFolder"`
 	// Bootstrap lets exactly one node form the group on its very first start.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// LoadsPerMinute is the rate of the weight store: how many orders to load a
+	// model or adapter the whole fleet may give.
+	LoadsPerMinute int `json:"loadsPerMinute,omitempty"`
 }
 
 // Entry sets up the entry role.
@@ -117,8 +120,9 @@
 	BetweenTokenMillis int64       `json:"betweenTokenMillis,omitempty"`
 }
 
-// Defaults of the entry role.
+// Defaults.
 const (
+	defaultLoadsPerMinute     = 60
 	defaultLeaseSharePerMille = 100
 	defaultPartitionMinutes   = 20
 	defaultDirectorySeconds   = 5
@@ -212,6 +216,9 @@
 	if !s.Advertise.Callers.IsValid() {
 		s.Advertise.Callers = s.Listen.Callers
 	}
+	if s.Control != nil {
+		setDefault(&s.Control.LoadsPerMinute, defaultLoadsPerMinute)
+	}
 	e := s.Entry
 	if e == nil {
 		return
