--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=lint/go.mod
 MODULE = github.com/waxwingreel/waxwingreel
 
-.PHONY: all build run test race lint format fuzz release clean
+.PHONY: all build run test prove measure fuzz lint format release clean
 
 all: build
 
@@ -21,6 +21,22 @@
 	$(GO) vet ./...
 	$(GO) test -race -count=1 -timeout 20m ./...
 
+# All fault cases: real processes behind a fault-injecting relay, about 4 minutes.
+prove:
+	WAXWINGREEL_PROVE=all $(GO) test -count=1 -timeout 15m -v ./prove
+
+# Measures everything again and rewrites the tables of docs/MEASURES.md, about 4
+# minutes.
+measure: build
+	bin/waxwingreel-measure --page docs/MEASURES.md
+
+# Looks for inputs that break the decoders.
+fuzz:
+	$(GO) test ./journal -run XXX -fuzz FuzzReadRecords -fuzztime 30s
+	$(GO) test ./catalog -run XXX -fuzz FuzzParseTicket -fuzztime 30s
+	$(GO) test ./settings -run XXX -fuzz FuzzParse -fuzztime 30s
+	$(GO) test ./wire -run XXX -fuzz FuzzDecode -fuzztime 30s
+
 # Formatter and linters.
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt would change:"; echo "$$unformatted"; exit 1; fi
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -81,8 +81,19 @@
 	start float64
 }
 
+// Policy chooses the order of the queue.
+type Policy string
+
+// The policies. Fair is in use; first come, first served is the baseline of
+// measurements.
+const (
+	PolicyFair        Policy = "fair"
+	PolicyFirstServed Policy = "firstServed"
+)
+
 // Config sets up a Queue.
 type Config struct {
+	Policy Policy
 	// Length bounds the waiting requests.
 	Length int
 }
@@ -148,6 +159,9 @@
 // Offer queues a request, or refuses it. The request that it displaces, if any, is
 // returned as well.
 func (q *Queue) Offer(r *Request, now time.Duration) (refused *Refusal, displaced *Request) {
+	if q.cfg.Policy == PolicyFirstServed {
+		r = anonymous(r)
+	}
 	wait := q.estimate(r, now)
 	if wait > r.Deadline-now {
 		return &Refusal{
@@ -175,6 +189,18 @@
 	return nil, displaced
 }
 
+// anonymous returns the request without what sets it apart from others. Requests
+// that are all alike are served in the order in which they come.
+func anonymous(r *Request) *Request {
+	return &Request{
+		ID:       r.ID,
+		Tier:     fleet.TierPaying,
+		Class:    fleet.ClassInteractive,
+		Cost:     1,
+		Deadline: r.Deadline,
+	}
+}
+
 // estimate returns the likely wait of a request, from the requests that would
 // start before it and the rate of starts. While nothing is known of the rate the
 // request is let in: a refusal must rest on an observation.
--- a/backend/client.go
+++ b/backend/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -140,19 +141,15 @@
 	chunks  chan Chunk
 	err     error
 	next    int
-	late    *atomic.Int64
 	wait    sync.WaitGroup
 }
 
-// LateChunks counts chunks that belonged to another attempt or came out of order,
-// over all streams.
-var lateChunks atomic.Int64
-
-// LateChunks returns how many chunks were dropped because they belonged to another
-// attempt or had been delivered before.
-func LateChunks() int64 {
-	return lateChunks.Load()
-}
+// Counters of what was dropped and of what was found silent.
+var (
+	// lateChunks counts chunks of another attempt, or delivered before.
+	lateChunks    = expvar.NewInt("waxwingreel.backend.lateChunks")
+	silentStreams = expvar.NewInt("waxwingreel.backend.silentStreams")
+)
 
 // StartStream sends a chat to an engine and returns its answer. The chat's Resume
 // tells where to begin.
@@ -187,7 +184,6 @@
 		cancel:  cancel,
 		body:    response.Body,
 		chunks:  make(chan Chunk, 16),
-		late:    &lateChunks,
 	}
 	if chat.Resume != nil {
 		s.next = chat.Resume.Tokens
@@ -268,10 +264,11 @@
 			if chunk.Attempt == s.attempt && chunk.Index > s.next {
 				return Chunk{}, eris.Wrapf(ErrBroken, "backend server %s: token %d is missing", s.client.id, s.next)
 			}
-			s.late.Add(1)
+			lateChunks.Add(1)
 		case <-timer.C:
 			state, err := s.client.Probe(ctx, s.attempt)
 			if err != nil || !state.Known || state.Finished || state.Tokens > s.next {
+				silentStreams.Add(1)
 				s.client.RetireIdle()
 				return Chunk{}, eris.Wrapf(ErrBroken, "backend server %s: the stream is silent", s.client.id)
 			}
--- a/command/command.go
+++ b/command/command.go
@@ -48,43 +48,29 @@
 		out:  out,
 		errs: errs,
 	}
-	parser := flags.NewNamedParser("waxwingreel", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Routes model requests for prepaid token budgets. Run 'waxwingreel COMMAND --help' for one command."
-	global := &globalOptions{}
-	if _, err := parser.AddGroup("Program", "", global); err != nil {
-		panic(err)
-	}
-	addCommands(parser, env)
-	global.Version = func() error {
+	if len(args) == 1 && args[0] == "--version" {
 		_, _ = fmt.Fprintf(out, "waxwingreel %s\n", Version)
-		return errVersion
+		return ExitOK
 	}
+	parser := flags.NewNamedParser("waxwingreel", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Routes model requests for prepaid token budgets. Run 'waxwingreel COMMAND --help' for one command, 'waxwingreel --version' for the version."
+	addCommands(parser, env)
 	_, err := parser.ParseArgs(args)
 	return env.exitCode(err)
 }
 
-// errVersion ends the parsing after --version.
-var errVersion = eris.New("version was printed")
-
-type globalOptions struct {
-	Version func() error `long:"version" description:"Print the version and exit"`
-}
-
 func (e *environment) exitCode(err error) int {
 	parse := (*flags.Error)(nil)
 	usage := usageError{}
 	problems := settings.Problems{}
 	switch {
-	case err == nil || err == errVersion:
+	case err == nil:
 		return ExitOK
 	case errors.As(err, &parse):
 		if parse.Type == flags.ErrHelp {
 			_, _ = fmt.Fprintln(e.out, parse.Message)
 			return ExitOK
 		}
-		if eris.Is(err, errVersion) || parse.Message == errVersion.Error() {
-			return ExitOK
-		}
 		_, _ = fmt.Fprintf(e.errs, "waxwingreel: %s\nhint: see waxwingreel --help\n", parse.Message)
 		return ExitUsage
 	case errors.As(err, &problems):
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -7,7 +7,7 @@
 // campaign starts a round of pre-votes or, if forced by a leader that is
 // stopping, an election.
 func (c *Core) campaign(forced bool) {
-	c.resetDeadline()
+	c.retryPreVoteSoon()
 	if !forced && c.refusesVotes() {
 		// The replica's own vote counts too: it promised the leader not to
 		// give it yet.
@@ -30,7 +30,16 @@
 	c.askVotes(MessagePreVote, c.hard.Term+1)
 }
 
+// retryPreVoteSoon sets a short wait: a pre-vote that is not granted, since another
+// replica heard the old leader a moment later, disturbs nobody and may be granted
+// shortly.
+func (c *Core) retryPreVoteSoon() {
+	part := c.cfg.ElectionTimeout / 8
+	c.deadline = c.now + part + time.Duration(c.rng.Int64N(int64(part)))
+}
+
 func (c *Core) elect() {
+	c.resetDeadline()
 	c.role = RoleCandidate
 	c.votes = map[ReplicaID]bool{c.cfg.ID: true}
 	c.setHard(HardState{
--- a/control/machine.go
+++ b/control/machine.go
@@ -130,3 +130,12 @@
 		commands: i.Commands,
 	}, nil
 }
+
+// EncodeLedger encodes a ledger as snapshots hold it. It is for measurements.
+func EncodeLedger(state *ledger.State) ([]byte, error) {
+	m := &machine{
+		catalog: catalog.New(),
+		ledger:  state,
+	}
+	return m.snapshot()
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -219,15 +219,15 @@
 	return disk.SyncFolder()
 }
 
-// Close stops the replica. A leader first hands over.
+// Close stops the replica.
 func (r *Replica) Close() {
-	r.handOver()
 	r.cancel()
 	r.wait.Wait()
 	_ = r.journal.Close()
 }
 
-func (r *Replica) handOver() {
+// HandOver has a leader pass its leadership on before a planned stop.
+func (r *Replica) HandOver() {
 	transferred := false
 	r.do(func() { transferred = r.core.Transfer() })
 	for i := 0; transferred && i < int(ElectionTimeout/tickInterval); i++ {
--- a/control/serve.go
+++ b/control/serve.go
@@ -10,7 +10,6 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/orders"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -122,7 +121,7 @@
 	holder  fleet.Holder
 	notify  chan struct{}
 	version fleet.Version
-	sent    map[fleet.NodeID]roster.Report
+	roster  uint64
 	recalls chan []ledger.Recall
 	full    bool
 }
@@ -137,7 +136,6 @@
 		holder:  first.Report.Holder,
 		notify:  make(chan struct{}, 1),
 		version: first.Report.Version,
-		sent:    map[fleet.NodeID]roster.Report{},
 		recalls: make(chan []ledger.Recall, 64),
 		full:    true,
 	}
@@ -217,12 +215,7 @@
 		delta := r.machine.catalog.Since(s.version)
 		update.Delta = &delta
 	}
-	for _, report := range r.table.Reports(now) {
-		if sent, ok := s.sent[report.Holder.Node]; !ok || roster.Differs(sent, report) {
-			s.sent[report.Holder.Node] = report
-			update.Roster = append(update.Roster, report)
-		}
-	}
+	update.Roster, s.roster = r.table.Since(s.roster)
 	update.Recalls = s.takeRecalls()
 	if s.full {
 		s.full = false
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,13 +11,6 @@
 	"github.com/waxwingreel/waxwingreel/roster"
 )
 
-// Loads at which a workspace is spread over more nodes, per mille of a node's
-// capacity.
-const (
-	wideLoad     = 600
-	overloadLoad = 950
-)
-
 // maxEntries bounds the list that a caller gets.
 const maxEntries = 5
 
@@ -76,7 +69,7 @@
 	if la, lb := a.Holder.Node == q.Doubtful, b.Holder.Node == q.Doubtful; la != lb {
 		return order(lb)
 	}
-	if oa, ob := a.LoadPerMille >= overloadLoad, b.LoadPerMille >= overloadLoad; oa != ob {
+	if oa, ob := a.LoadPerMille >= roster.OverloadLoad, b.LoadPerMille >= roster.OverloadLoad; oa != ob {
 		return order(ob)
 	}
 	if na, nb := a.DataCentre == q.DataCentre, b.DataCentre == q.DataCentre; na != nb && q.DataCentre != "" {
@@ -99,7 +92,7 @@
 // rotate lets callers of a busy workspace start at different nodes.
 func rotate(q Query, live []roster.Report) {
 	width := 1
-	for width < len(live) && width < maxEntries-1 && live[width-1].LoadPerMille >= wideLoad {
+	for width < len(live) && width < maxEntries-1 && live[width-1].LoadPerMille >= roster.BusyLoad {
 		width++
 	}
 	if width < 2 {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -58,6 +58,7 @@
 	node        fleet.NodeID
 	queueLength int
 	policy      placement.Policy
+	admission   admission.Policy
 	pools       map[poolKey]*dispatchPool
 	retries     map[fleet.WorkspaceID]*retry.Budget
 	clients     *clientSet
@@ -90,6 +91,7 @@
 	node        fleet.NodeID
 	queueLength int
 	policy      placement.Policy
+	admission   admission.Policy
 	clients     *clientSet
 }
 
@@ -99,6 +101,7 @@
 		node:        cfg.node,
 		queueLength: cfg.queueLength,
 		policy:      cfg.policy,
+		admission:   cfg.admission,
 		pools:       map[poolKey]*dispatchPool{},
 		retries:     map[fleet.WorkspaceID]*retry.Budget{},
 		clients:     cfg.clients,
@@ -172,7 +175,10 @@
 	pool, ok := d.pools[key]
 	if !ok {
 		pool = &dispatchPool{
-			queue: admission.New(admission.Config{Length: d.queueLength}),
+			queue: admission.New(admission.Config{
+				Policy: d.admission,
+				Length: d.queueLength,
+			}),
 			table: placement.New(placement.Config{
 				Policy: d.policy,
 				Seed:   uint64(len(d.pools)) + 1,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,10 +62,27 @@
 	// turned out not to need.
 	NewBilling func(refund func(fleet.BudgetID, fleet.Tokens)) (*billing.Recorder, error)
 	Log        *event.Log
-	// LeasePolicy and PlacementPolicy are for measurements; the zero values
-	// choose the policies in use.
-	LeasePolicy     lease.Policy
-	PlacementPolicy placement.Policy
+	Policies   Policies
+}
+
+// Policies replaces policies by the baselines of measurements. The zero value
+// chooses the policies in use.
+type Policies struct {
+	Lease     lease.Policy
+	Placement placement.Policy
+	Admission admission.Policy
+}
+
+func (p *Policies) fillDefaults() {
+	if p.Lease == "" {
+		p.Lease = lease.PolicyDemandRecall
+	}
+	if p.Placement == "" {
+		p.Placement = placement.PolicyBest
+	}
+	if p.Admission == "" {
+		p.Admission = admission.PolicyFair
+	}
 }
 
 // Server answers callers.
@@ -89,17 +106,12 @@
 
 // New starts a server.
 func New(cfg Config) (*Server, error) {
-	if cfg.LeasePolicy == "" {
-		cfg.LeasePolicy = lease.PolicyDemandRecall
-	}
-	if cfg.PlacementPolicy == "" {
-		cfg.PlacementPolicy = placement.PolicyBest
-	}
+	cfg.Policies.fillDefaults()
 	quota := newQuotaKeeper(lease.New(lease.Config{
 		Holder:        cfg.Holder,
 		SharePerMille: cfg.Settings.LeaseSharePerMille,
 		Partition:     time.Duration(cfg.Settings.PartitionMinutes) * time.Minute,
-		Policy:        cfg.LeasePolicy,
+		Policy:        cfg.Policies.Lease,
 	}), cfg.Link)
 	recorder, err := cfg.NewBilling(quota.refund)
 	if err != nil {
@@ -116,7 +128,8 @@
 		dispatch: newDispatcher(dispatchConfig{
 			node:        cfg.Holder.Node,
 			queueLength: cfg.Settings.QueueLength,
-			policy:      cfg.PlacementPolicy,
+			policy:      cfg.Policies.Placement,
+			admission:   cfg.Policies.Admission,
 			clients:     clients,
 		}),
 		ctx:    ctx,
--- a/event/event.go
+++ b/event/event.go
@@ -31,24 +31,18 @@
 	MemberAdded       ID = 208
 	MemberPromoted    ID = 209
 	MemberRemoved     ID = 210
-	GroupWaiting      ID = 211
 
 	ControlConnected ID = 301
 	ControlLost      ID = 302
 	ConfigInForce    ID = 303
 	HolderRejected   ID = 304
-	NodeDead         ID = 305
-	NodeAlive        ID = 306
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
 	SettlementDropped  ID = 403
 	CallInDoubt        ID = 404
 
-	BackendSuspected ID = 501
-	BackendBack      ID = 502
-	StreamResumed    ID = 503
-	LateAnswer       ID = 504
+	StreamResumed ID = 503
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -29,8 +29,9 @@
 const (
 	// horizon is the spending that is kept at hand while connected.
 	horizon = 5 * time.Second
-	// rateWindow is the time over which spending is averaged.
+	// rateWindow and slowWindow are the times over which spending is averaged.
 	rateWindow = 30 * time.Second
+	slowWindow = 10 * time.Minute
 	// resendAfter is the wait for an answer before a change is repeated.
 	resendAfter = 500 * time.Millisecond
 	// idleAfter is the time without a request after which quota is given back.
@@ -83,7 +84,8 @@
 	// need is what the first waiting request needs.
 	need     fleet.Tokens
 	recalled bool
-	rate     float64 // tokens for each second
+	rate     float64 // tokens for each second, over rateWindow
+	slowRate float64 // the same over slowWindow
 	rateAt   time.Duration
 	usedAt   time.Duration
 	askedAt  time.Duration
@@ -144,16 +146,18 @@
 	p.quota(budget, now).free += amount
 }
 
-// observe averages the spending over rateWindow.
+// observe averages the spending over both windows.
 func (q *quota) observe(spent fleet.Tokens, now time.Duration) {
 	q.decay(now)
 	q.rate += float64(spent) / rateWindow.Seconds()
+	q.slowRate += float64(spent) / slowWindow.Seconds()
 }
 
 func (q *quota) decay(now time.Duration) {
 	passed := (now - q.rateAt).Seconds()
 	if passed > 0 {
 		q.rate *= math.Exp(-passed / rateWindow.Seconds())
+		q.slowRate *= math.Exp(-passed / slowWindow.Seconds())
 		q.rateAt = now
 	}
 }
@@ -171,13 +175,13 @@
 		return math.MaxInt64 / 4
 	}
 	q.decay(now)
-	return fleet.Tokens(q.rate * (horizon + p.cfg.Partition).Seconds())
+	rate := max(q.rate, q.slowRate)
+	return fleet.Tokens(rate * (horizon + p.cfg.Partition).Seconds())
 }
 
-// floor is the free quota below which the pool asks for more.
-func (q *quota) floor(target fleet.Tokens) fleet.Tokens {
-	return max(target/2, fleet.Tokens(q.rate*horizon.Seconds()))
-}
+// floorPerMille is the part of the target below which the pool asks for more. A
+// network partition may begin at any moment, so the pool is kept nearly full.
+const floorPerMille = 900
 
 // Changes returns the changes that must be sent now: new ones, and those that have
 // waited too long for an answer.
@@ -214,7 +218,7 @@
 	}
 	target := p.target(q, now)
 	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
-	low := q.free < q.floor(target) && now-q.askedAt >= askAgainAfter
+	low := q.free < target*floorPerMille/1000 && now-q.askedAt >= askAgainAfter
 	idle := q.free > 0 && q.need == 0 && now-q.usedAt > idleAfter
 	switch {
 	case short || low:
--- /dev/null
+++ b/measure/capacity.go
@@ -0,0 +1,299 @@
+package measure
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/uplink"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// The size of two years' time.
+const (
+	fullNodes      = 660
+	fullServers    = 2800
+	fullWorkspaces = 6100
+	fullModels     = 20
+)
+
+const (
+	steadyTime  = 10 * time.Second
+	settleTime  = 4 * time.Second
+	spreadTries = 5
+)
+
+// Capacity measures the slopes that docs/CAPACITY.md reckons with: what each
+// subscribed entry node costs, how long a change takes to be in force on all of
+// them, and how large the configuration is in memory.
+func Capacity() ([]Group, error) {
+	view, err := viewSize()
+	if err != nil {
+		return nil, err
+	}
+	subscribers := Group{
+		Name:    "subscribers",
+		Setting: "One control replica with the full configuration (2,800 backend servers, 6,100 workspaces, 20 models) and entry nodes' links to it, all in one process over real QUIC connections on loopback. Processor time is that of both ends.",
+	}
+	f, err := startFleet(fleetConfig{
+		nodes:   1,
+		control: 1,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	if err := fill(ctx, f); err != nil {
+		return nil, err
+	}
+	var links []*testLink
+	defer func() {
+		for _, l := range links {
+			l.close()
+		}
+	}()
+	for _, n := range []int{66, 220, fullNodes} {
+		for len(links) < n {
+			l, err := newLink(f, len(links))
+			if err != nil {
+				return nil, err
+			}
+			links = append(links, l)
+		}
+		if err := subscribersAt(ctx, &subscribers, f, links); err != nil {
+			return nil, err
+		}
+	}
+	return []Group{subscribers, view}, nil
+}
+
+// fill applies the full configuration, in tickets of a bounded size.
+func fill(ctx context.Context, f *testFleet) error {
+	var changes []catalog.Change
+	for i := range fullModels {
+		changes = append(changes, modelChange(fmt.Sprintf("model-%02d", i), "1"))
+	}
+	for i := range fullServers {
+		changes = append(changes, serverChange(i))
+	}
+	number := fleet.TicketNumber(1)
+	if err := f.apply(ctx, number, changes); err != nil {
+		return err
+	}
+	for first := 0; first < fullWorkspaces; first += 1000 {
+		changes = nil
+		for i := first; i < min(first+1000, fullWorkspaces); i++ {
+			id := fleet.WorkspaceID(fmt.Sprintf("workspace-%04d", i))
+			changes = append(changes, workspaceChanges(id, "key-"+string(id))...)
+		}
+		number++
+		if err := f.apply(ctx, number, changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func modelChange(id, version string) catalog.Change {
+	return catalog.Change{Body: catalog.Body{Model: &catalog.Model{
+		ID:        fleet.ModelID(id),
+		Version:   version,
+		MaxOutput: 4096,
+		MaxPrompt: 100_000,
+	}}}
+}
+
+func serverChange(i int) catalog.Change {
+	return catalog.Change{Body: catalog.Body{BackendServer: &catalog.BackendServer{
+		ID:           fleet.BackendServerID(fmt.Sprintf("runner-%04d", i)),
+		Address:      fmt.Sprintf("127.%d.%d.1:1", i/250, i%250),
+		DataCentre:   fleet.DataCentre(fmt.Sprintf("dc%d", i%7)),
+		Models:       []fleet.ModelID{fleet.ModelID(fmt.Sprintf("model-%02d", i%fullModels))},
+		Slots:        64,
+		ChecksOrders: true,
+		// No engine stands at these addresses, so none is to be ordered to
+		// load anything.
+		Leaving: true,
+	}}}
+}
+
+// testLink is an entry node's link without the entry node.
+type testLink struct {
+	endpoint *wire.Endpoint
+	link     *uplink.Link
+}
+
+func newLink(f *testFleet, i int) (*testLink, error) {
+	node := fleet.NodeID(fmt.Sprintf("entry-%03d", i))
+	endpoint, err := wire.New(wire.Config{
+		Node:   node,
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Secret: fleetSecret,
+	})
+	if err != nil {
+		return nil, err
+	}
+	endpoint.Start()
+	seq := &atomic.Uint64{}
+	holder := fleet.Holder{
+		Node:        node,
+		Incarnation: 1,
+	}
+	return &testLink{
+		endpoint: endpoint,
+		link: uplink.New(uplink.Config{
+			Holder:   holder,
+			Endpoint: endpoint,
+			Replicas: []netip.AddrPort{f.settings[0].Advertise.Wire},
+			Report: func() roster.Report {
+				return roster.Report{
+					Holder:     holder,
+					Seq:        seq.Add(1),
+					State:      roster.StateUp,
+					DataCentre: "dc1",
+					Callers:    netip.MustParseAddrPort("127.0.0.1:80"),
+					Wire:       endpoint.Address(),
+				}
+			},
+			Log: event.New(io.Discard, string(node)),
+		}),
+	}, nil
+}
+
+func (l *testLink) close() {
+	l.link.Close()
+	l.endpoint.Close()
+}
+
+func counter(name string) int64 {
+	return expvar.Get(name).(*expvar.Int).Value()
+}
+
+// subscribersAt takes the figures with the present number of links.
+func subscribersAt(ctx context.Context, g *Group, f *testFleet, links []*testLink) error {
+	if err := awaitVersion(ctx, links, f.nodes[0].ConfigVersion()); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	n := float64(len(links))
+	cpu, sent := processorTime(), counter("waxwingreel.wire.bytesSent")
+	time.Sleep(steadyTime)
+	used := processorTime() - cpu
+	bytes := float64(counter("waxwingreel.wire.bytesSent")-sent) / steadyTime.Seconds()
+	g.add(fmt.Sprintf("%d nodes: processor time for each, both ends", len(links)), 100*used.Seconds()/steadyTime.Seconds()/n, "% of a core")
+	g.atMost(fmt.Sprintf("%d nodes: traffic for each, both ways", len(links)), bytes/n, "bytes/s", 8192)
+	var times []time.Duration
+	for i := range spreadTries {
+		number := fleet.TicketNumber(len(links)*100 + i)
+		changes := []catalog.Change{modelChange("model-00", fmt.Sprint(number))}
+		started := time.Now()
+		result, err := f.nodes[0].Submit(ctx, ticketCommand(number, changes))
+		if err != nil {
+			return err
+		}
+		if err := awaitVersion(ctx, links, result.Outcome.Version); err != nil {
+			return err
+		}
+		times = append(times, time.Since(started))
+	}
+	g.atMost(fmt.Sprintf("%d nodes: a change in force on all, slowest of %d", len(links), spreadTries), millis(percentile(times, 1000)), "ms", 4000)
+	return nil
+}
+
+func awaitVersion(ctx context.Context, links []*testLink, version fleet.Version) error {
+	for _, l := range links {
+		for l.link.View().Version < version {
+			if ctx.Err() != nil {
+				return eris.New("measure: a change was not in force in time")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// viewSize measures the configuration in an entry node's memory.
+func viewSize() (Group, error) {
+	g := Group{
+		Name:    "configuration",
+		Setting: "The configuration as an entry node holds it, at three sizes, and the time to put one more change in force.",
+	}
+	for _, part := range []int{10, 3, 1} {
+		if err := viewOf(&g, fullServers/part, fullWorkspaces/part); err != nil {
+			return g, err
+		}
+	}
+	return g, nil
+}
+
+func viewOf(g *Group, servers, workspaces int) error {
+	state := catalog.New()
+	var changes []catalog.Change
+	for i := range fullModels {
+		changes = append(changes, modelChange(fmt.Sprintf("model-%02d", i), "1"))
+	}
+	for i := range servers {
+		changes = append(changes, serverChange(i))
+	}
+	state.Apply(catalog.Ticket{
+		Number:  1,
+		Changes: changes,
+	}, 0, nil)
+	for i := range workspaces {
+		id := fleet.WorkspaceID(fmt.Sprintf("workspace-%04d", i))
+		state.Apply(catalog.Ticket{
+			Number:  fleet.TicketNumber(i + 2),
+			Changes: workspaceChanges(id, string(id)),
+		}, 0, nil)
+	}
+	before := heap()
+	delta, err := copied(state.Since(0))
+	if err != nil {
+		return err
+	}
+	view, ok := catalog.NewView().With(delta)
+	if !ok {
+		return eris.New("measure: the view did not take the configuration")
+	}
+	delta = catalog.Delta{}
+	objects := len(view.Objects())
+	g.add(fmt.Sprintf("%d objects: heap of the view", objects), float64(int64(heap())-int64(before))/1024, "KB")
+	last := view.Version
+	state.Apply(catalog.Ticket{
+		Number:  1_000_000,
+		Changes: []catalog.Change{modelChange("model-00", "2")},
+	}, 0, nil)
+	started := time.Now()
+	if _, ok := view.With(state.Since(last)); !ok {
+		return eris.New("measure: the view did not take the change")
+	}
+	g.add(fmt.Sprintf("%d objects: one more change", objects), millis(time.Since(started)), "ms")
+	runtime.KeepAlive(view)
+	runtime.KeepAlive(state)
+	return nil
+}
+
+// copied passes a delta through its encoding, as the wire does.
+func copied(delta catalog.Delta) (catalog.Delta, error) {
+	data, err := cbor.Marshal(delta)
+	if err != nil {
+		return catalog.Delta{}, eris.Wrap(err, "measure: encode a delta")
+	}
+	again := catalog.Delta{}
+	err = wire.Decode(data, &again)
+	return again, eris.Wrap(err, "measure: decode a delta")
+}
--- /dev/null
+++ b/measure/control.go
@@ -0,0 +1,317 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/journal"
+	"github.com/waxwingreel/waxwingreel/ledger"
+)
+
+// Sizes of the control measurements.
+const (
+	sequentialCommits = 300
+	loadTime          = 3 * time.Second
+	submitters        = 128
+)
+
+func ticketCommand(number fleet.TicketNumber, changes []catalog.Change) control.Command {
+	return control.Command{Ticket: &catalog.Ticket{
+		Number:  number,
+		Changes: changes,
+	}}
+}
+
+func settleCommand(tokens fleet.Tokens) control.Command {
+	return control.Command{Settle: &ledger.Settle{Settlements: []ledger.Settlement{{
+		Key: ledger.RequestKey{
+			Workspace: "w",
+			Request:   fleet.NewRequestID(),
+		},
+		Budget: "paying-w",
+		Tokens: tokens,
+	}}}}
+}
+
+// Control measures commits, throughput and fail-over of one group of three.
+func Control() ([]Group, error) {
+	var groups []Group
+	for _, d := range []struct {
+		name  string
+		delay time.Duration
+	}{
+		{
+			name:  "lindqvist",
+			delay: time.Millisecond,
+		},
+		{
+			name:  "rijwielpoort",
+			delay: 1500 * time.Microsecond,
+		},
+	} {
+		g := Group{
+			Name:    "control " + d.name,
+			Setting: fmt.Sprintf("Three replicas in one process, %s each way between them, every commit synced to disk.", d.delay),
+		}
+		if err := controlGroup(&g, d.delay); err != nil {
+			return nil, err
+		}
+		groups = append(groups, g)
+	}
+	return groups, nil
+}
+
+func controlGroup(g *Group, delay time.Duration) error {
+	f, err := startFleet(fleetConfig{
+		nodes:   3,
+		control: 3,
+		delay:   delay,
+	})
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	if err := f.apply(ctx, 1, workspaceChanges("w", "key")); err != nil {
+		return err
+	}
+	if err := sequential(ctx, g, f); err != nil {
+		return err
+	}
+	if err := throughput(ctx, g, f); err != nil {
+		return err
+	}
+	return failOver(ctx, g, f)
+}
+
+func sequential(ctx context.Context, g *Group, f *testFleet) error {
+	var times []time.Duration
+	for range sequentialCommits {
+		started := time.Now()
+		if _, err := f.nodes[1].Submit(ctx, settleCommand(1)); err != nil {
+			return err
+		}
+		times = append(times, time.Since(started))
+	}
+	g.add("settlement, one at a time, p50", millis(percentile(times, 500)), "ms")
+	g.add("settlement, one at a time, p95", millis(percentile(times, 950)), "ms")
+	return nil
+}
+
+func throughput(ctx context.Context, g *Group, f *testFleet) error {
+	settled, err := perSecond(func(int64) error {
+		_, err := f.nodes[1].Submit(ctx, settleCommand(1))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	g.add("settlements, 128 at a time", settled, "1/s")
+	tickets, err := perSecond(func(n int64) error {
+		model := catalog.Model{
+			ID:        fleet.ModelID(fmt.Sprintf("m%d", n%1000)),
+			Version:   fmt.Sprint(n),
+			MaxOutput: 1,
+			MaxPrompt: 1,
+		}
+		_, err := f.nodes[1].Submit(ctx, ticketCommand(fleet.TicketNumber(n+10), []catalog.Change{{Body: catalog.Body{Model: &model}}}))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	g.add("tickets, 128 at a time", tickets, "1/s")
+	return nil
+}
+
+// perSecond runs an operation in many goroutines for a while.
+func perSecond(operation func(n int64) error) (float64, error) {
+	count := atomic.Int64{}
+	ended := atomic.Int64{}
+	failure := atomic.Pointer[error]{}
+	workers := sync.WaitGroup{}
+	started := time.Now()
+	for range submitters {
+		workers.Go(func() {
+			for time.Since(started) < loadTime {
+				if err := operation(count.Add(1)); err != nil {
+					failure.Store(&err)
+					return
+				}
+				ended.Add(1)
+			}
+		})
+	}
+	workers.Wait()
+	if err := failure.Load(); err != nil {
+		return 0, *err
+	}
+	return float64(ended.Load()) / time.Since(started).Seconds(), nil
+}
+
+// failOver kills the leader and times the next commit.
+func failOver(ctx context.Context, g *Group, f *testFleet) error {
+	var times []time.Duration
+	for range 5 {
+		leader := f.leader()
+		if leader < 0 {
+			return eris.New("measure: no leader")
+		}
+		other := (leader + 1) % len(f.nodes)
+		f.nodes[leader].Kill()
+		started := time.Now()
+		if _, err := f.nodes[other].Submit(ctx, settleCommand(1)); err != nil {
+			return err
+		}
+		times = append(times, time.Since(started))
+		n, err := f.startNode(leader)
+		if err != nil {
+			return err
+		}
+		f.nodes[leader] = n
+		if _, err := f.nodes[leader].Submit(ctx, settleCommand(1)); err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Second)
+	}
+	g.add("leader killed, next commit, median of 5", millis(percentile(times, 500)), "ms")
+	g.add("leader killed, next commit, slowest of 5", millis(percentile(times, 1000)), "ms")
+	return nil
+}
+
+// leader returns the node whose replica leads.
+func (f *testFleet) leader() int {
+	for i, n := range f.nodes {
+		if n.Leads() {
+			return i
+		}
+	}
+	return -1
+}
+
+// Recovery measures the restart of one replica against the length of its log, and
+// the ledger's memory against the number of budgets.
+func Recovery() (Group, error) {
+	g := Group{
+		Name:    "recovery",
+		Setting: "One replica's journal read and replayed from disk; the ledger's heap and snapshot.",
+	}
+	for _, entries := range []int{1000, 5000, 20_000} {
+		d, err := replay(entries)
+		if err != nil {
+			return g, err
+		}
+		g.add(fmt.Sprintf("reopen a journal of %d entries", entries), millis(d), "ms")
+	}
+	for _, budgets := range []int{10_000, 65_000, 260_000} {
+		if err := ledgerSize(&g, budgets); err != nil {
+			return g, err
+		}
+	}
+	return g, nil
+}
+
+func replay(entries int) (time.Duration, error) {
+	folder, err := os.MkdirTemp("", "waxwingreel-measure-")
+	if err != nil {
+		return 0, eris.Wrap(err, "measure: make a folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	disk, err := journal.OpenFolder(filepath.Join(folder, "data"))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = disk.Close() }()
+	store, _, err := journal.Open(disk, 0)
+	if err != nil {
+		return 0, err
+	}
+	var batch []consensus.Entry
+	for i := range entries {
+		batch = append(batch, consensus.Entry{
+			Index: consensus.Index(i + 1),
+			Term:  1,
+			Kind:  consensus.EntryCommand,
+			Data:  make([]byte, 200),
+		})
+	}
+	if err := store.Save(nil, batch); err != nil {
+		return 0, err
+	}
+	_ = store.Close()
+	started := time.Now()
+	again, contents, err := journal.Open(disk, 0)
+	if err != nil {
+		return 0, err
+	}
+	took := time.Since(started)
+	if len(contents.Entries) != entries {
+		return 0, eris.Errorf("measure: got %d entries back, want %d", len(contents.Entries), entries)
+	}
+	return took, again.Close()
+}
+
+func heap() uint64 {
+	runtime.GC()
+	stats := runtime.MemStats{}
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// ledgerSize fills a ledger with budgets, each leased to two holders.
+func ledgerSize(g *Group, budgets int) error {
+	before := heap()
+	state := ledger.New()
+	state.Advance(1)
+	holders := []fleet.Holder{
+		{
+			Node:        "n1",
+			Incarnation: 1,
+		},
+		{
+			Node:        "n2",
+			Incarnation: 1,
+		},
+	}
+	for _, h := range holders {
+		state.Join(h)
+	}
+	for i := range budgets {
+		id := fleet.BudgetID(fmt.Sprintf("budget-%06d", i))
+		state.SetPrepaid(id, 1_000_000)
+		for _, h := range holders {
+			state.ChangeLease(ledger.LeaseChange{
+				Holder:        h,
+				Budget:        id,
+				Seq:           1,
+				Need:          100,
+				Want:          1000,
+				SharePerMille: 100,
+			})
+		}
+	}
+	size := float64(heap() - before)
+	g.add(fmt.Sprintf("ledger heap for each of %d budgets, leased to 2 nodes", budgets), size/float64(budgets), "bytes")
+	started := time.Now()
+	data, err := control.EncodeLedger(state)
+	if err != nil {
+		return err
+	}
+	g.add(fmt.Sprintf("ledger snapshot of %d budgets, time", budgets), millis(time.Since(started)), "ms")
+	g.add(fmt.Sprintf("ledger snapshot of %d budgets, size for each", budgets), float64(len(data))/float64(budgets), "bytes")
+	runtime.KeepAlive(state)
+	return nil
+}
--- /dev/null
+++ b/measure/figure.go
@@ -0,0 +1,128 @@
+// Package measure measures a fleet in this process against the project's targets
+// and against plain baselines, and writes the figures into docs/MEASURES.md.
+package measure
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value float64
+	Unit  string
+	// Target is the bound that the users stated, "" for a figure without one.
+	Target string
+	// Missed is true where the target is not met.
+	Missed bool
+}
+
+// Group is the figures of one subject.
+type Group struct {
+	Name string
+	// Setting says under which conditions the figures were taken.
+	Setting string
+	Figures []Figure
+}
+
+func (g *Group) add(name string, value float64, unit string) {
+	g.Figures = append(g.Figures, Figure{
+		Name:  name,
+		Value: value,
+		Unit:  unit,
+	})
+}
+
+// atMost adds a figure with an upper bound.
+func (g *Group) atMost(name string, value float64, unit string, bound float64) {
+	g.Figures = append(g.Figures, Figure{
+		Name:   name,
+		Value:  value,
+		Unit:   unit,
+		Target: fmt.Sprintf("at most %g", bound),
+		Missed: value > bound,
+	})
+}
+
+// Line formats a figure as "name value unit target".
+func (f Figure) Line() string {
+	target := f.Target
+	if target == "" {
+		target = "-"
+	}
+	if f.Missed {
+		target += " MISSED"
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%s", f.Name, number(f.Value), f.Unit, target)
+}
+
+func number(v float64) string {
+	switch {
+	case v >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 10:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+// Print writes one line for each figure.
+func (g Group) Print(w io.Writer) {
+	for _, f := range g.Figures {
+		_, _ = fmt.Fprintln(w, f.Line())
+	}
+}
+
+// table formats the group for docs/MEASURES.md.
+func (g Group) table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n\n| figure | value | unit | target |\n|---|---|---|---|\n", g.Setting)
+	for _, f := range g.Figures {
+		target := f.Target
+		if f.Missed {
+			target = "**missed**: " + target
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", f.Name, number(f.Value), f.Unit, target)
+	}
+	return b.String()
+}
+
+// WriteInto replaces the group's table in a page. The table stands between the
+// lines "<!-- measure NAME -->" and "<!-- end -->".
+func (g Group) WriteInto(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "measure: read the page")
+	}
+	begin := "<!-- measure " + g.Name + " -->\n"
+	before, rest, ok := strings.Cut(string(text), begin)
+	if !ok {
+		return eris.Errorf("measure: %s has no line %q", path, strings.TrimSpace(begin))
+	}
+	_, after, ok := strings.Cut(rest, "<!-- end -->")
+	if !ok {
+		return eris.Errorf("measure: %s: the table of %s has no end", path, g.Name)
+	}
+	page := before + begin + g.table() + "<!-- end -->" + after
+	return eris.Wrap(os.WriteFile(path, []byte(page), 0o644), "measure: write the page")
+}
+
+func percentile(d []time.Duration, perMille int) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(d)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)*perMille/1000, len(sorted)-1)]
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,8 @@
 	Settings settings.Settings
 	Log      *event.Log
 	Version  string
+	// Policies is for measurements; the zero value chooses those in use.
+	Policies entry.Policies
 }
 
 // Node is one running node.
@@ -224,6 +226,7 @@
 		Link:       n.link,
 		NewBilling: n.newBilling,
 		Log:        n.cfg.Log,
+		Policies:   n.cfg.Policies,
 	})
 	if err != nil {
 		return err
@@ -408,3 +411,23 @@
 	}
 	return burn.Merge(counts, missing, objectives)
 }
+
+// Submit hands a command to the control group. It is for measurements and tools.
+func (n *Node) Submit(ctx context.Context, command control.Command) (control.Result, error) {
+	return n.link.Submit(ctx, command)
+}
+
+// Leads reports whether this node's control replica holds the leader's lease. It is
+// for measurements.
+func (n *Node) Leads() bool {
+	if n.replica == nil {
+		return false
+	}
+	holds, _, _ := n.replica.OrderState()
+	return holds
+}
+
+// ConfigVersion returns the version of the configuration in force on this node.
+func (n *Node) ConfigVersion() fleet.Version {
+	return n.link.View().Version
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -27,6 +27,9 @@
 	if n.entry != nil {
 		n.drain(ctx)
 	}
+	if n.replica != nil {
+		n.replica.HandOver()
+	}
 	n.closeAll()
 	n.cfg.Log.Info(event.NodeStopped).Msg("node stopped")
 }
--- a/placement/table.go
+++ b/placement/table.go
@@ -189,9 +189,12 @@
 }
 
 // hasRoom reports whether a server can take a request of a tier and class.
-func (s *server) hasRoom(tier fleet.Tier, class fleet.Class, now time.Duration) bool {
+func (s *server) hasRoom(policy Policy, tier fleet.Tier, class fleet.Class, now time.Duration) bool {
 	slots := float64(s.spec.Slots)
 	load := float64(s.outstanding) + s.others(now)
+	if policy == PolicyRoundRobin {
+		return float64(s.outstanding) < slots*fullPerMille/1000
+	}
 	switch {
 	case float64(s.outstanding) >= s.limit:
 		return false
@@ -208,7 +211,7 @@
 // HasRoom reports whether any server can take a request of a tier and class.
 func (t *Table) HasRoom(tier fleet.Tier, class fleet.Class, now time.Duration) bool {
 	for _, id := range t.order {
-		if s := t.servers[id]; s.usable(now) && s.hasRoom(tier, class, now) {
+		if s := t.servers[id]; s.usable(now) && s.hasRoom(t.cfg.Policy, tier, class, now) {
 			return true
 		}
 	}
@@ -245,7 +248,7 @@
 	for _, id := range t.order {
 		s := t.servers[id]
 		switch {
-		case !s.usable(now) || !s.hasRoom(r.Tier, r.Class, now):
+		case !s.usable(now) || !s.hasRoom(t.cfg.Policy, r.Tier, r.Class, now):
 		case slices.Contains(r.Avoid, id):
 			avoided = append(avoided, s)
 		default:
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -62,11 +62,15 @@
 // Table is a replica's view of the fleet. It is not safe for concurrent use.
 type Table struct {
 	rows map[fleet.NodeID]*row
+	// changes counts what subscribers must hear of.
+	changes uint64
 }
 
 type row struct {
 	report Report
 	heard  time.Duration
+	// changed numbers the latest change that subscribers must hear of.
+	changed uint64
 }
 
 // New returns an empty table.
@@ -80,21 +84,31 @@
 	heard := now - time.Duration(report.AgeMillis)*time.Millisecond
 	held, ok := t.rows[report.Holder.Node]
 	if !ok {
-		t.rows[report.Holder.Node] = &row{
+		held = &row{
 			report: report,
 			heard:  heard,
 		}
+		t.rows[report.Holder.Node] = held
+		t.note(held)
 		return true
 	}
 	if older(report, held.report) {
 		return false
 	}
-	changed := Differs(report, held.report)
+	changed := differs(report, held.report)
 	held.report = report
 	held.heard = max(held.heard, heard)
+	if changed {
+		t.note(held)
+	}
 	return changed
 }
 
+func (t *Table) note(r *row) {
+	t.changes++
+	r.changed = t.changes
+}
+
 func older(a, b Report) bool {
 	if a.Holder.Incarnation != b.Holder.Incarnation {
 		return a.Holder.Incarnation < b.Holder.Incarnation
@@ -102,13 +116,27 @@
 	return a.Seq <= b.Seq
 }
 
-// loadStep is the change of load that is worth passing on.
-const loadStep = 100
+// Loads at which a node's place in the directory changes, per mille of its
+// capacity. Only the passing of one of them is told to other nodes: with hundreds
+// of nodes, telling every change would cost each more than all else.
+const (
+	BusyLoad     = 600
+	OverloadLoad = 950
+)
 
-// Differs reports whether subscribers must hear of the change from b to a.
-func Differs(a, b Report) bool {
-	load := a.LoadPerMille/loadStep != b.LoadPerMille/loadStep
-	return load || a.State != b.State || a.Holder != b.Holder || a.Callers != b.Callers || a.Wire != b.Wire
+func band(load int) int {
+	switch {
+	case load >= OverloadLoad:
+		return 2
+	case load >= BusyLoad:
+		return 1
+	}
+	return 0
+}
+
+// differs reports whether subscribers must hear of a change.
+func differs(a, b Report) bool {
+	return band(a.LoadPerMille) != band(b.LoadPerMille) || a.State != b.State || a.Holder != b.Holder || a.Callers != b.Callers || a.Wire != b.Wire
 }
 
 // MarkDead turns silent nodes dead and forgets those long dead. It reports whether
@@ -119,6 +147,7 @@
 		silence := now - r.heard
 		if silence > DeadAfter && r.report.State != StateDead {
 			r.report.State = StateDead
+			t.note(r)
 			changed = true
 		}
 		if silence > forgetAfter {
@@ -140,11 +169,18 @@
 	return reports
 }
 
-// Get returns one node's report.
-func (t *Table) Get(node fleet.NodeID) (Report, bool) {
-	r, ok := t.rows[node]
-	if !ok {
-		return Report{}, false
+// Since returns the rows that have changed after a number that an earlier call
+// returned, 0 for all, and the number to ask with next.
+func (t *Table) Since(number uint64) ([]Report, uint64) {
+	if number == t.changes {
+		return nil, number
+	}
+	var reports []Report
+	for _, r := range t.rows {
+		if r.changed > number {
+			reports = append(reports, r.report)
+		}
 	}
-	return r.report, true
+	sort.Slice(reports, func(i, j int) bool { return reports[i].Holder.Node < reports[j].Holder.Node })
+	return reports, t.changes
 }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// sound is a settings file without faults; tests replace a part of it.
+const sound = `{
+  "node": "n1", // the VM's name
+  "dataCentre": "inari",
+  "listen": {
+    "wire": "127.0.0.1:7101",
+    "callers": "127.0.0.1:8101",
+    "operators": "127.0.0.1:9101"
+  },
+  "fleetSecret": "0123456789abcdef",
+  "operatorKeys": ["0000000000000000000000000000000000000000000000000000000000000000"],
+  "controlNodes": [
+    {"node": "n1", "wire": "127.0.0.1:7101"}
+  ],
+  "control": {"dataFolder": "/tmp/n1", "bootstrap": true},
+  "entry": {}
+}`
+
+func expect(t *testing.T, old, replacement, want string) {
+	t.Helper()
+	if !strings.Contains(sound, old) {
+		t.Fatalf("the sound settings hold no %q", old)
+	}
+	_, err := Parse("f.jsonc", []byte(strings.Replace(sound, old, replacement, 1)))
+	got := fmt.Sprint(err)
+	if !strings.Contains(got, want) {
+		t.Errorf("%q for %q:\ngot  %s\nwant %s", replacement, old, got, want)
+	}
+}
+
+func TestProblemsNameTheirPlace(t *testing.T) {
+	expect(t, `"node": "n1", //`, `//`, `f.jsonc:1: node: is missing`)
+	expect(t, `"dataCentre"`, `"dataCenter"`, `f.jsonc:3: dataCenter: is no known field`)
+	expect(t, `"wire": "127.0.0.1:7101",`, `"wire": "n1:7101",`, `f.jsonc:`)
+	expect(t, `"wire": "127.0.0.1:7101",`, `"wire": "0.0.0.0:7101",`, `f.jsonc:5: listen.wire: 0.0.0.0:7101 is no address that others can reach`)
+	expect(t, `"127.0.0.1:9101"`, `"127.0.0.1:8101"`, `f.jsonc:7: listen.operators: is the callers' address`)
+	expect(t, `0123456789abcdef`, `short`, `f.jsonc:9: fleetSecret: has fewer than 16 characters`)
+	expect(t, `["0000`, `["zz00`, `f.jsonc:10: operatorKeys.0: is no SHA-256 sum`)
+	expect(t, `{"node": "n1", "wire": "127.0.0.1:7101"}`, `{"node": "n1", "wire": "127.0.0.1:7101"}, {"node": "n1", "wire": "127.0.0.1:7102"}, {"node": "n3", "wire": "127.0.0.1:7103"}`, `f.jsonc:12: controlNodes.1.node: "n1" stands twice`)
+	expect(t, `"dataFolder": "/tmp/n1"`, `"dataFolder": "/no/such/folder/n1"`, `f.jsonc:14: control.dataFolder: its parent folder /no/such/folder does not exist`)
+	expect(t, `"dataFolder": "/tmp/n1", `, ``, `f.jsonc:14: control.dataFolder: is missing`)
+	expect(t, `"entry": {}`, `"entry": {"leaseSharePerMille": 2000}`, `f.jsonc:15: entry.leaseSharePerMille: 2000 is outside 1 to 1000`)
+	expect(t, `"entry": {}`, `"entry": {"queueLength": "long"}`, `f.jsonc:15: entry.queueLength: is a string, want int`)
+	expect(t, `"entry": {}`, `"entry": {`, `is not JSON with comments`)
+}
+
+func TestSoundSettings(t *testing.T) {
+	s, err := Parse("f.jsonc", []byte(sound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Entry.LeaseSharePerMille, int64(defaultLeaseSharePerMille); got != want {
+		t.Errorf("got lease share %d, want the default %d", got, want)
+	}
+	if got, want := s.Advertise.Wire, s.Listen.Wire; got != want {
+		t.Errorf("got advertised address %s, want %s", got, want)
+	}
+}
+
+// TestExamples checks the settings files under examples.
+func TestExamples(t *testing.T) {
+	paths, err := filepath.Glob("../examples/*/n*.jsonc")
+	if err != nil || len(paths) < 10 {
+		t.Fatalf("got %d examples, error %v; want at least 10", len(paths), err)
+	}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(path, text); err != nil {
+			t.Errorf("%v", err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(`{"entry": {"serviceLevels": [{"class": 3}]}}`))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		_, _ = Parse("f.jsonc", text)
+	})
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -32,6 +32,12 @@
 	stalePatience = 2 * time.Second
 	retryPause    = 50 * time.Millisecond
 	attemptTime   = 1500 * time.Millisecond
+	// submitTime is the wait for one command's answer before another control
+	// node is asked.
+	submitTime = 800 * time.Millisecond
+	// avoidTime keeps a control node that did not answer out of the choice,
+	// also when others still name it as the leader.
+	avoidTime = time.Second
 )
 
 // ErrUnavailable means that a command was certainly not carried out.
@@ -75,19 +81,24 @@
 	fresh    atomic.Bool
 	rejected atomic.Bool
 	beat     chan struct{}
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
+
+	avoidedMu sync.Mutex
+	avoided   map[netip.AddrPort]time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 }
 
 // New loads the stored configuration and starts the link.
 func New(cfg Config) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{
-		cfg:    cfg,
-		beat:   make(chan struct{}, 1),
-		ctx:    ctx,
-		cancel: cancel,
+		cfg:     cfg,
+		beat:    make(chan struct{}, 1),
+		avoided: map[netip.AddrPort]time.Time{},
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	l.view.Store(catalog.NewView())
 	l.reports.Store(&[]roster.Report{})
@@ -299,27 +310,26 @@
 	unknown := false
 	var last error
 	for i := 0; ctx.Err() == nil; i++ {
-		answer, err := l.submitOnce(ctx, l.target(i), command)
+		address := l.target(i)
+		answer, err := l.submitOnce(ctx, address, command)
 		switch {
 		case err != nil:
 			// The command may have arrived even if the answer did not.
 			unknown = true
 			last = err
+			l.avoid(address)
 		case answer.Status == control.SubmitDone:
 			return answer.Result, nil
-		case answer.Status == control.SubmitNotLeader && answer.Leader.IsValid():
-			leader := answer.Leader
-			if leader != l.target(i) && i < 8 {
-				l.leader.Store(&leader)
+		case answer.Status == control.SubmitNotLeader:
+			last = eris.Errorf("%s does not lead", address)
+			if l.learnLeader(answer.Leader, address) {
 				continue
 			}
-		case answer.Status == control.SubmitUnknown:
-			unknown = true
-			last = eris.New(answer.Reason)
 		default:
+			unknown = unknown || answer.Status == control.SubmitUnknown
 			last = eris.New(answer.Reason)
 		}
-		l.leader.Store(&netip.AddrPort{})
+		l.forgetLeader(address)
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
@@ -331,40 +341,74 @@
 	return control.Result{}, eris.Wrapf(ErrUnavailable, "%v", last)
 }
 
+// avoid takes note that a control node did not answer.
+func (l *Link) avoid(address netip.AddrPort) {
+	l.avoidedMu.Lock()
+	defer l.avoidedMu.Unlock()
+	l.avoided[address] = time.Now().Add(avoidTime)
+}
+
+func (l *Link) avoids(address netip.AddrPort) bool {
+	l.avoidedMu.Lock()
+	defer l.avoidedMu.Unlock()
+	return time.Now().Before(l.avoided[address])
+}
+
+// learnLeader takes a control node's word of who leads, unless that is itself or
+// has just failed to answer. It reports whether to go there at once.
+func (l *Link) learnLeader(leader, from netip.AddrPort) bool {
+	if !leader.IsValid() || leader == from || l.avoids(leader) {
+		return false
+	}
+	l.leader.Store(&leader)
+	return true
+}
+
+func (l *Link) forgetLeader(address netip.AddrPort) {
+	if leader := l.leader.Load(); *leader == address {
+		l.leader.CompareAndSwap(leader, &netip.AddrPort{})
+	}
+}
+
 func (l *Link) submitOnce(ctx context.Context, address netip.AddrPort, command control.Command) (control.SubmitAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
 	defer cancel()
 	answer := control.SubmitAnswer{}
 	err := l.cfg.Endpoint.Call(ctx, address, control.MethodSubmit, command, &answer)
 	return answer, err
 }
 
-// target returns the leader, or one control node after another while the leader is
-// not known.
+// target returns the leader or, while it is not known, one control node after
+// another that has not just failed to answer.
 func (l *Link) target(attempt int) netip.AddrPort {
-	if leader := *l.leader.Load(); leader.IsValid() {
+	if leader := *l.leader.Load(); leader.IsValid() && !l.avoids(leader) {
 		return leader
 	}
-	return l.cfg.Replicas[attempt%len(l.cfg.Replicas)]
+	n := len(l.cfg.Replicas)
+	for i := range n {
+		if address := l.cfg.Replicas[(attempt+i)%n]; !l.avoids(address) {
+			return address
+		}
+	}
+	return l.cfg.Replicas[attempt%n]
 }
 
 // Query asks the leader for a part of the state.
 func (l *Link) Query(ctx context.Context, query control.Query) (control.QueryAnswer, error) {
 	var last error = ErrUnavailable
 	for i := 0; ctx.Err() == nil; i++ {
-		answer, err := l.QueryReplica(ctx, l.target(i), query)
-		if err == nil && answer.Status == control.SubmitDone {
-			return answer, nil
-		}
-		if err != nil {
+		address := l.target(i)
+		answer, err := l.QueryReplica(ctx, address, query)
+		switch {
+		case err != nil:
 			last = err
+			l.avoid(address)
+		case answer.Status == control.SubmitDone:
+			return answer, nil
+		case l.learnLeader(answer.Leader, address):
+			continue
 		}
-		if err == nil && answer.Leader.IsValid() {
-			leader := answer.Leader
-			l.leader.Store(&leader)
-		} else {
-			l.leader.Store(&netip.AddrPort{})
-		}
+		l.forgetLeader(address)
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/relay"
+)
+
+const (
+	methodEcho  Method = "echo"
+	methodCount Method = "count"
+)
+
+func endpoint(t *testing.T, node fleet.NodeID, secret string) *Endpoint {
+	t.Helper()
+	e, err := New(Config{
+		Node:   node,
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Secret: secret,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func echoServer(t *testing.T) *Endpoint {
+	t.Helper()
+	e := endpoint(t, "server", "one secret for all")
+	e.HandleCall(methodEcho, func(_ context.Context, from fleet.NodeID, body []byte) (any, error) {
+		text := ""
+		if err := Decode(body, &text); err != nil {
+			return nil, err
+		}
+		if text == "fail" {
+			return nil, &Error{
+				Code: "tooBad",
+				Text: "as asked",
+			}
+		}
+		return string(from) + ":" + text, nil
+	})
+	e.Start()
+	return e
+}
+
+func call(e *Endpoint, address netip.AddrPort, text string, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	answer := ""
+	err := e.Call(ctx, address, methodEcho, text, &answer)
+	return answer, err
+}
+
+func TestCall(t *testing.T) {
+	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
+	got, err := call(client, server.Address(), "hello", 5*time.Second)
+	if want := "client:hello"; err != nil || got != want {
+		t.Errorf("got %q and error %v, want %q", got, err, want)
+	}
+	_, err = call(client, server.Address(), "fail", 5*time.Second)
+	coded := (*Error)(nil)
+	if !eris.As(err, &coded) || coded.Code != "tooBad" {
+		t.Errorf("got error %v, want one of code tooBad", err)
+	}
+}
+
+func TestOtherFleetIsRefused(t *testing.T) {
+	server, stranger := echoServer(t), endpoint(t, "stranger", "another secret")
+	if got, err := call(stranger, server.Address(), "hello", 3*time.Second); err == nil {
+		t.Errorf("got %q, want an error for a peer without the fleet's secret", got)
+	}
+}
+
+func TestMessagesComeInOrder(t *testing.T) {
+	server := endpoint(t, "server", "one secret for all")
+	received := make(chan int, 1000)
+	server.HandleMessage(methodCount, func(_ fleet.NodeID, body []byte) {
+		n := 0
+		if Decode(body, &n) == nil {
+			received <- n
+		}
+	})
+	server.Start()
+	client := endpoint(t, "client", "one secret for all")
+	for n := range 500 {
+		client.Send(server.Address(), methodCount, n)
+	}
+	for want := range 500 {
+		if got := <-received; got != want {
+			t.Fatalf("got message %d, want %d", got, want)
+		}
+	}
+}
+
+// TestSilentConnection lets the path forget a connection while new ones work: a cut
+// of the old sender's packets, which a new endpoint's are not. Calls end with an
+// error within seconds, and work again on a fresh connection after the path is back.
+func TestSilentConnection(t *testing.T) {
+	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
+	network := relay.NewNetwork(1)
+	network.Name(client.Address(), "client")
+	front := endpoint(t, "unused", "x").Address()
+	listen := netip.AddrPortFrom(front.Addr(), front.Port()+1)
+	udp, err := relay.NewUDP(network, "server", listen, server.Address())
+	if err != nil {
+		t.Skipf("no free port for the relay: %v", err)
+	}
+	t.Cleanup(udp.Close)
+	if _, err := call(client, listen, "before", 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, pair := range []relay.Pair{{
+		From: "client",
+		To:   "server",
+	}, {
+		From: "server",
+		To:   "client",
+	}} {
+		network.Set(pair, relay.Faults{Cut: true})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	answer := ""
+	started := time.Now()
+	if err := client.Call(ctx, listen, methodEcho, "lost", &answer); err == nil {
+		t.Fatal("a call over a silent connection was answered")
+	}
+	if got, most := time.Since(started), 8*time.Second; got > most {
+		t.Errorf("the silence was noticed after %s, want at most %s", got, most)
+	}
+	network.Mend()
+	if got, err := call(client, listen, "after", 5*time.Second); err != nil || got != "client:after" {
+		t.Errorf("got %q and error %v after the path was back, want client:after", got, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	buffer := &bytes.Buffer{}
+	if _, err := writeFrame(buffer, header{
+		Method: methodEcho,
+		From:   "n1",
+	}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(buffer.Bytes())
+	f.Add([]byte{0, 0, 0, 200, 1})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		body, err := readFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		_ = Decode(body, &header{})
+		_ = Decode(body, &answer{})
+	})
+}
