--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -479,7 +479,9 @@
 					c.deliver(i, kind == 0, kind == 1)
 				}
 			},
-			"run":     func(t *rapid.T) { c.run(time.Duration(rapid.SampledFrom([]int{20, 200, 1500}).Draw(t, "ms")) * time.Millisecond) },
+			"run": func(t *rapid.T) {
+				c.run(time.Duration(rapid.SampledFrom([]int{20, 200, 1500}).Draw(t, "ms")) * time.Millisecond)
+			},
 			"propose": func(*rapid.T) { c.propose() },
 			"proposeMany": func(*rapid.T) {
 				for range 20 {
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -214,9 +214,8 @@
 		}
 		term := consensus.Term(1)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			tried := held
+			tried := model{}
 			disk.operations = rapid.IntRange(-1, 12).Draw(t, "operations")
-			var err error
 			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 && len(held.entries) > 0 {
 				tried, err = trySnapshot(t, j, held)
 			} else {
--- a/lease/ledger_test.go
+++ b/lease/ledger_test.go
@@ -37,7 +37,6 @@
 type testRequest struct {
 	key      ledger.RequestKey
 	reserved fleet.Tokens
-	spent    fleet.Tokens
 }
 
 type testBill struct {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -143,7 +143,7 @@
 				left[all[i].ID] = true
 				table.SetServers(listed)
 			},
-			"removed": func(t *rapid.T) {
+			"removed": func(*rapid.T) {
 				left[all[3].ID] = true
 				listed = all[:3]
 				table.SetServers(listed)
