Bills' identities in 16 bytes and for 75 minutes; ended lives stop; burn tests

Cause: a bill's record took the workspace's name and 56 bytes of order, for two hours; at 60 requests a second that alone neared 64 MB. It is now a 16-byte sum kept for an hour's partition and a quarter; requests that may be repeated are admitted for 15 minutes, at-most-once calls for 23 hours, since their records are kept for 24.

A node whose later life is registered, or that a ticket calls gone, now hears so and serves nothing more; before, it went on with what it held.

A node's first heartbeat with its callers' address reached the others' directories up to 0.5 s late; replicas now tell one another of changes at once, and the sample fleet waits until its nodes know one another.

--- a/burn/report.go
+++ b/burn/report.go
@@ -37,7 +37,11 @@
 
 // Merge adds up the nodes' counts.
 func Merge(nodes []NodeCounts, missing []fleet.NodeID, objectives []Objective) Report {
-	report := Report{Missing: missing}
+	report := Report{
+		Lines:   []Line{},
+		Asked:   []fleet.NodeID{},
+		Missing: missing,
+	}
 	sums := map[Series]*Count{}
 	for _, node := range nodes {
 		report.Asked = append(report.Asked, node.Node)
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -115,6 +115,10 @@
 	Recalls []ledger.Recall `json:"recalls,omitempty"`
 	// Ending lists the ended holders that the node has not confirmed.
 	Ending []fleet.Holder `json:"ending,omitempty"`
+	// Ended says that this life of the node has ended for the ledger: a later
+	// one is registered, or a ticket called the VM gone. The node must spend
+	// nothing more.
+	Ended bool `json:"ended,omitempty"`
 	// Leader is where commands go, if known.
 	Leader netip.AddrPort `json:"leader"`
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -177,6 +177,8 @@
 		r.directAt[node] = now
 		if r.table.Merge(heartbeat.Report, now) {
 			r.notify(effects{ending: true})
+			// The other replicas hear of the change at once.
+			r.announced = now - announceInterval
 		}
 	})
 }
@@ -210,6 +212,7 @@
 		Stale:  r.failed != nil || !r.core.Fresh(now, freshWithin),
 		Leader: r.leaderAddress(),
 		Ending: r.ledgerEnding(s.holder.Node),
+		Ended:  r.ended(s.holder),
 	}
 	if !update.Stale && r.machine.catalog.Version() > s.version {
 		delta := r.machine.catalog.Since(s.version)
@@ -224,6 +227,16 @@
 	return update
 }
 
+// ended reports whether a life of a node has ended.
+func (r *Replica) ended(holder fleet.Holder) bool {
+	object, ok := r.machine.catalog.Object(catalog.Key{
+		Kind: catalog.KindNode,
+		ID:   string(holder.Node),
+	})
+	gone := ok && object.Body.Node.Gone
+	return gone || r.machine.ledger.Incarnation(holder.Node) > holder.Incarnation
+}
+
 func (s *subscriber) takeRecalls() []ledger.Recall {
 	var recalls []ledger.Recall
 	for {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -146,10 +146,10 @@
 	return sum
 }
 
-// AwaitReady waits until a node is ready.
+// AwaitReady waits until all nodes are ready and know one another.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, n := range f.nodes {
-		for !n.Ready() {
+		for !n.Ready() || n.KnownEntries() < len(f.nodes) {
 			select {
 			case <-ctx.Done():
 				return eris.New("demo: the fleet did not become ready in time")
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -82,6 +82,9 @@
 
 // parse reads and checks the body.
 func (r *chatRun) parse() *Refusal {
+	if refusal := r.checkAge(); refusal != nil {
+		return refusal
+	}
 	if err := json.Unmarshal(r.body, &r.chat); err != nil {
 		return notRun(http.StatusBadRequest, TypeBadRequest, "the body is no chat request: "+err.Error())
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -373,19 +373,20 @@
 	return b
 }
 
-// poolView is one pool as operators see it.
-type poolView struct {
+// PoolView is the queue and the servers of one model or service as operators see
+// them.
+type PoolView struct {
 	Model   fleet.ModelID          `json:"model,omitempty"`
 	Service fleet.ServiceID        `json:"service,omitempty"`
 	Waiting int                    `json:"waiting"`
 	Servers []placement.ServerView `json:"servers"`
 }
 
-func (d *dispatcher) poolViews() []poolView {
-	var views []poolView
+func (d *dispatcher) poolViews() []PoolView {
+	var views []PoolView
 	d.ask(func() {
 		for key, pool := range d.pools {
-			views = append(views, poolView{
+			views = append(views, PoolView{
 				Model:   key.model,
 				Service: key.service,
 				Waiting: pool.queue.Len(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,6 +220,11 @@
 	return int(s.inFlight.Load() * 1000 / int64(s.cfg.Settings.MaxInFlight))
 }
 
+// Rejected reports whether this life of the node has ended for the ledger.
+func (s *Server) Rejected() bool {
+	return s.cfg.Link.Rejected()
+}
+
 // InFlight returns how many requests are being worked on.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
@@ -239,7 +244,7 @@
 }
 
 // Pools returns the queues and servers as operators see them.
-func (s *Server) Pools() any {
+func (s *Server) Pools() []PoolView {
 	return s.dispatch.poolViews()
 }
 
@@ -387,19 +392,24 @@
 	if id.Created() > now.Add(futureAllowance) {
 		return notRun(http.StatusBadRequest, TypeBadRequest, "the request id lies in the future").withHint("check the clock of the machine that made it")
 	}
-	if id.Created() < now.Add(-ledger.AdmissionAge) {
-		return unknown(http.StatusConflict, TypeTooOld, "the request id is too old to tell whether it ran before").withHint("if you know that it did not run, send it under a new id")
-	}
 	return nil
 }
 
+// checkAge refuses an id for which a second run could not be told from a first.
+func (x *exchange) checkAge() *Refusal {
+	if x.id.Created() >= clock.Wall().Add(-ledger.AdmissionAge) {
+		return nil
+	}
+	return unknown(http.StatusConflict, TypeTooOld, "the request id is too old to tell whether it ran before").withHint("if you know that it did not run, send it under a new id")
+}
+
 func (x *exchange) serverReady() *Refusal {
 	s := x.server
 	switch {
 	case s.stopping.Load():
 		return notRun(http.StatusServiceUnavailable, TypeStopping, "this node is stopping").withHint("ask GET /v1/entries for another").withRetry(100 * time.Millisecond)
 	case s.cfg.Link.Rejected():
-		return notRun(http.StatusServiceUnavailable, TypeControlAway, "this node's registration was refused").withHint("ask GET /v1/entries for another").withRetry(time.Second)
+		return notRun(http.StatusServiceUnavailable, TypeControlAway, "this node may not spend any more").withHint("ask GET /v1/entries for another").withRetry(time.Second)
 	case s.cfg.Link.View().Version == 0:
 		return notRun(http.StatusServiceUnavailable, TypeControlAway, "this node has no configuration yet").withRetry(time.Second).because(burn.CauseUnreachable)
 	case s.inFlight.Load() > int64(s.cfg.Settings.MaxInFlight):
--- a/entry/service.go
+++ b/entry/service.go
@@ -97,6 +97,9 @@
 }
 
 func (r *serviceRun) checkCall() *Refusal {
+	if refusal := r.checkAge(); r.call.Idempotent && refusal != nil {
+		return refusal
+	}
 	if !r.call.Idempotent && !r.named {
 		return notRun(http.StatusBadRequest, TypeBadRequest, "this call runs at most once and needs an Idempotency-Key").withHint("send a new UUID of version 7, and the same one with each retry")
 	}
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -46,6 +46,11 @@
 	})
 }
 
+// Incarnation returns a node's registered life, 0 for none.
+func (s *State) Incarnation(node fleet.NodeID) fleet.Incarnation {
+	return s.holders[node]
+}
+
 func (s *State) end(ended fleet.Holder) {
 	waiting := map[fleet.NodeID]bool{}
 	for node := range s.holders {
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -42,7 +42,7 @@
 
 // SettlementImage is one billed request in an Image.
 type SettlementImage struct {
-	Key     RequestKey       `json:"key"`
+	Key     [16]byte         `json:"key"`
 	Tokens  fleet.Tokens     `json:"tokens"`
 	Charged fleet.Tokens     `json:"charged"`
 	Attempt uint64           `json:"attempt"`
@@ -82,19 +82,19 @@
 	sort.Slice(image.Ending, func(i, j int) bool {
 		return lessHolder(image.Ending[i].Holder, image.Ending[j].Holder)
 	})
-	for _, dated := range s.settledOrder {
-		b := s.settlements[dated.key]
+	for _, item := range s.settledOrder {
+		b := s.settlements[item.key]
 		image.Settlements = append(image.Settlements, SettlementImage{
-			Key:     dated.key,
+			Key:     item.key,
 			Tokens:  b.tokens,
 			Charged: b.charged,
 			Attempt: b.attempt,
 			Partial: b.partial,
-			At:      dated.at,
+			At:      item.at,
 		})
 	}
-	for _, dated := range s.callOrder {
-		image.Calls = append(image.Calls, s.calls[dated.key].image(dated))
+	for _, item := range s.callOrder {
+		image.Calls = append(image.Calls, s.calls[item.key].image(item))
 	}
 	return image
 }
@@ -129,10 +129,10 @@
 	return image
 }
 
-func (c *call) image(dated datedKey) CallImage {
+func (c *call) image(item dated[RequestKey]) CallImage {
 	return CallImage{
 		Begin: Begin{
-			Key:      dated.key,
+			Key:      item.key,
 			Budget:   c.budget,
 			Holder:   c.holder,
 			BodyHash: c.bodyHash,
@@ -141,7 +141,7 @@
 		State:    c.state,
 		Answer:   c.answer,
 		Finished: c.finished,
-		At:       dated.at,
+		At:       item.at,
 	}
 }
 
@@ -170,7 +170,7 @@
 			attempt: b.Attempt,
 			partial: b.Partial,
 		}
-		s.settledOrder = append(s.settledOrder, datedKey{
+		s.settledOrder = append(s.settledOrder, dated[billKey]{
 			key: b.Key,
 			at:  b.At,
 		})
@@ -205,7 +205,7 @@
 	c.answer = image.Answer
 	c.finished = image.Finished
 	s.calls[image.Begin.Key] = c
-	s.callOrder = append(s.callOrder, datedKey{
+	s.callOrder = append(s.callOrder, dated[RequestKey]{
 		key: image.Begin.Key,
 		at:  image.At,
 	})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,6 +25,7 @@
 package ledger
 
 import (
+	"crypto/sha256"
 	"sort"
 	"time"
 
@@ -33,13 +34,17 @@
 
 // Retention of the records that make a repeated request harmless.
 const (
-	// SettlementRetention is how long the id of a billed request is kept.
-	SettlementRetention = 2 * time.Hour
+	// AdmissionAge is the oldest request id that an entry node admits for work
+	// that may be repeated.
+	AdmissionAge = 15 * time.Minute
+	// SettlementRetention is how long a bill's identity is kept: long enough
+	// for a bill that waits out an hour's network partition.
+	SettlementRetention = time.Hour + AdmissionAge
 	// CallRetention is how long the record of an at-most-once call is kept.
 	CallRetention = 24 * time.Hour
-	// AdmissionAge is the oldest request id that an entry node admits. It
-	// leaves a request an hour to be settled.
-	AdmissionAge = time.Hour
+	// CallAdmissionAge is the oldest request id for which such a call is begun.
+	// A call under a younger id that was begun before is still on record.
+	CallAdmissionAge = CallRetention - time.Hour
 	// recallPause keeps a holder that gave back all it could from being
 	// asked again at once.
 	recallPause = 500 * time.Millisecond
@@ -50,12 +55,12 @@
 	accounts    map[fleet.BudgetID]*account
 	holders     map[fleet.NodeID]fleet.Incarnation
 	ending      map[fleet.Holder]map[fleet.NodeID]bool
-	settlements map[RequestKey]billed
+	settlements map[billKey]billed
 	calls       map[RequestKey]*call
 	// settledOrder and callOrder hold the keys in the order of their
 	// recording, for pruning.
-	settledOrder []datedKey
-	callOrder    []datedKey
+	settledOrder []dated[billKey]
+	callOrder    []dated[RequestKey]
 	unbacked     uint64
 	now          fleet.UnixMillis
 }
@@ -78,6 +83,17 @@
 	answeredAt  fleet.UnixMillis
 }
 
+// billKey identifies a bill in 16 bytes, since there are many of them.
+type billKey [16]byte
+
+func (k RequestKey) bill() billKey {
+	sum := sha256.New()
+	sum.Write(k.Request[:])
+	sum.Write(k.Body[:])
+	sum.Write([]byte(k.Workspace))
+	return billKey(sum.Sum(nil)[:len(billKey{})])
+}
+
 type billed struct {
 	tokens  fleet.Tokens
 	charged fleet.Tokens
@@ -95,8 +111,8 @@
 	finished SettleResult
 }
 
-type datedKey struct {
-	key RequestKey
+type dated[K any] struct {
+	key K
 	at  fleet.UnixMillis
 }
 
@@ -106,7 +122,7 @@
 		accounts:    map[fleet.BudgetID]*account{},
 		holders:     map[fleet.NodeID]fleet.Incarnation{},
 		ending:      map[fleet.Holder]map[fleet.NodeID]bool{},
-		settlements: map[RequestKey]billed{},
+		settlements: map[billKey]billed{},
 		calls:       map[RequestKey]*call{},
 	}
 }
@@ -115,7 +131,7 @@
 // records that have outlived their retention.
 func (s *State) Advance(now fleet.UnixMillis) {
 	s.now = max(s.now, now)
-	s.settledOrder = dropOlder(s.settledOrder, s.now.Add(-SettlementRetention), func(key RequestKey) {
+	s.settledOrder = dropOlder(s.settledOrder, s.now.Add(-SettlementRetention), func(key billKey) {
 		delete(s.settlements, key)
 	})
 	s.callOrder = dropOlder(s.callOrder, s.now.Add(-CallRetention), func(key RequestKey) {
@@ -123,7 +139,7 @@
 	})
 }
 
-func dropOlder(order []datedKey, limit fleet.UnixMillis, drop func(RequestKey)) []datedKey {
+func dropOlder[K any](order []dated[K], limit fleet.UnixMillis, drop func(K)) []dated[K] {
 	n := 0
 	for n < len(order) && order[n].at < limit {
 		drop(order[n].key)
@@ -261,7 +277,8 @@
 
 // Settle bills one request, once.
 func (s *State) Settle(in Settlement) SettleResult {
-	first, ok := s.settlements[in.Key]
+	key := in.Key.bill()
+	first, ok := s.settlements[key]
 	if ok && first.attempt == in.Attempt {
 		return SettleResult{
 			Status:  SettledNow,
@@ -282,15 +299,15 @@
 		s.unbacked++
 		return SettleResult{Status: SettleUnbacked}
 	}
-	s.settlements[in.Key] = billed{
+	s.settlements[key] = billed{
 		tokens:  in.Tokens,
 		charged: in.Tokens - first.tokens,
 		attempt: in.Attempt,
 		partial: in.Partial,
 	}
 	if !ok {
-		s.settledOrder = append(s.settledOrder, datedKey{
-			key: in.Key,
+		s.settledOrder = append(s.settledOrder, dated[billKey]{
+			key: key,
 			at:  s.now,
 		})
 	}
@@ -328,11 +345,11 @@
 func (s *State) Begin(in Begin) BeginResult {
 	c, ok := s.calls[in.Key]
 	if !ok {
-		if in.Key.Request.Created() < s.now.Add(-AdmissionAge) {
+		if in.Key.Request.Created() < s.now.Add(-CallAdmissionAge) {
 			return BeginResult{TooOld: true}
 		}
 		s.calls[in.Key] = newCall(in)
-		s.callOrder = append(s.callOrder, datedKey{
+		s.callOrder = append(s.callOrder, dated[RequestKey]{
 			key: in.Key,
 			at:  s.now,
 		})
--- a/measure/control.go
+++ b/measure/control.go
@@ -221,9 +221,42 @@
 			return g, err
 		}
 	}
+	for _, settled := range []int{50_000, 200_000, 800_000} {
+		if err := settlementSize(&g, settled); err != nil {
+			return g, err
+		}
+	}
 	return g, nil
 }
 
+// settlementSize fills a ledger with billed requests.
+func settlementSize(g *Group, settled int) error {
+	state := ledger.New()
+	now := fleet.UnixMillis(time.Now().UnixMilli())
+	state.Advance(now)
+	state.SetPrepaid("b", 1<<40)
+	before := heap()
+	for i := range settled {
+		state.Settle(ledger.Settlement{
+			Key: ledger.RequestKey{
+				Workspace: "w",
+				Request:   fleet.NewRequestID(),
+			},
+			Budget:  "b",
+			Tokens:  1,
+			Attempt: uint64(i),
+		})
+	}
+	g.add(fmt.Sprintf("ledger heap for each of %d billed requests", settled), float64(int64(heap())-int64(before))/float64(settled), "bytes")
+	data, err := control.EncodeLedger(state)
+	if err != nil {
+		return err
+	}
+	g.add(fmt.Sprintf("ledger snapshot for each of %d billed requests", settled), float64(len(data))/float64(settled), "bytes")
+	runtime.KeepAlive(state)
+	return nil
+}
+
 func replay(entries int) (time.Duration, error) {
 	folder, err := os.MkdirTemp("", "waxwingreel-measure-")
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -210,7 +210,7 @@
 		Wire:       s.Advertise.Wire,
 		Control:    s.Control != nil,
 	}
-	if serving := n.serving.Load(); serving != nil && n.joined.Load() {
+	if serving := n.serving.Load(); serving != nil && n.joined.Load() && !serving.Rejected() {
 		report.Callers = s.Advertise.Callers
 		report.LoadPerMille = serving.LoadPerMille()
 	}
@@ -325,31 +325,19 @@
 }
 
 // Summary implements operator.Node.
-func (n *Node) Summary() any {
-	summary := struct {
-		Holder   fleet.Holder     `json:"holder"`
-		State    roster.State     `json:"state"`
-		Joined   bool             `json:"joined"`
-		Fresh    bool             `json:"fresh"`
-		Version  fleet.Version    `json:"version"`
-		InFlight int64            `json:"inFlight"`
-		Held     int              `json:"heldSettlements"`
-		Uptime   string           `json:"uptime"`
-		Pools    any              `json:"pools,omitempty"`
-		Leases   any              `json:"leases,omitempty"`
-		DC       fleet.DataCentre `json:"dataCentre"`
-	}{
-		Holder:  n.holder,
-		State:   n.state.Load().(roster.State),
-		Joined:  n.joined.Load(),
-		Fresh:   n.link.Fresh(),
-		Version: n.link.View().Version,
-		Uptime:  (clock.Boot() - n.started).Round(time.Second).String(),
-		DC:      n.cfg.Settings.DataCentre,
+func (n *Node) Summary() operator.NodeSummary {
+	summary := operator.NodeSummary{
+		Holder:        n.holder,
+		DataCentre:    n.cfg.Settings.DataCentre,
+		State:         n.state.Load().(roster.State),
+		Joined:        n.joined.Load(),
+		Fresh:         n.link.Fresh(),
+		Version:       n.link.View().Version,
+		UptimeSeconds: int64((clock.Boot() - n.started).Seconds()),
 	}
 	if n.entry != nil {
 		summary.InFlight = n.entry.InFlight()
-		summary.Held = n.entry.Billing().Held()
+		summary.HeldSettlements = n.entry.Billing().Held()
 		summary.Pools = n.entry.Pools()
 		summary.Leases = n.entry.Holdings()
 	}
@@ -359,7 +347,7 @@
 // Ready implements operator.Node.
 func (n *Node) Ready() bool {
 	up := n.state.Load().(roster.State) == roster.StateUp
-	return up && n.link.Fresh() && (n.entry == nil || n.joined.Load() && n.link.View().Version > 0)
+	return up && n.link.Fresh() && !n.link.Rejected() && (n.entry == nil || n.joined.Load() && n.link.View().Version > 0)
 }
 
 // BurnReport implements operator.Node: it asks every node that the roster knows.
@@ -431,3 +419,14 @@
 func (n *Node) ConfigVersion() fleet.Version {
 	return n.link.View().Version
 }
+
+// KnownEntries returns how many nodes this node would name to callers.
+func (n *Node) KnownEntries() int {
+	known := 0
+	for _, report := range n.link.Roster() {
+		if report.State == roster.StateUp && report.Callers.IsValid() {
+			known++
+		}
+	}
+	return known
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,7 +21,9 @@
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/entry"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/uplink"
@@ -48,11 +50,28 @@
 
 // Node tells of the node that serves the interface.
 type Node interface {
-	Summary() any
+	Summary() NodeSummary
 	Ready() bool
 	BurnReport(ctx context.Context) burn.Report
 }
 
+// NodeSummary is the node that answers, as it sees itself.
+type NodeSummary struct {
+	Holder     fleet.Holder     `json:"holder"`
+	DataCentre fleet.DataCentre `json:"dataCentre"`
+	State      roster.State     `json:"state"`
+	// Joined says that this life of the node is registered, Fresh that it
+	// hears from a control replica that hears its leader.
+	Joined          bool             `json:"joined"`
+	Fresh           bool             `json:"fresh"`
+	Version         fleet.Version    `json:"version"`
+	InFlight        int64            `json:"inFlight"`
+	HeldSettlements int              `json:"heldSettlements"`
+	UptimeSeconds   int64            `json:"uptimeSeconds"`
+	Pools           []entry.PoolView `json:"pools,omitempty"`
+	Leases          []lease.Holding  `json:"leases,omitempty"`
+}
+
 // Config sets up the interface.
 type Config struct {
 	// Keys are the SHA-256 sums of the operators' keys, in hexadecimal.
@@ -274,7 +293,7 @@
 // Status answers GET /v1/status.
 type Status struct {
 	Version     string                  `json:"version"`
-	Node        any                     `json:"node"`
+	Node        NodeSummary             `json:"node"`
 	Replicas    []control.ReplicaStatus `json:"replicas"`
 	Unreachable []netip.AddrPort        `json:"unreachable"`
 	Roster      []roster.Report         `json:"roster"`
--- a/prove/case_test.go
+++ b/prove/case_test.go
@@ -283,6 +283,7 @@
 //	leave SERVER                make a backend server leave
 //	topUp TOKENS                set all paying budgets' prepaid amounts by ticket
 //	version V                   set the model's version by ticket
+//	gone N                      call a node's VM gone by ticket
 //	race N M                    two operators send two tickets of one number
 //	restartAll                  a rolling restart by planned stops
 func (f *testFleet) act(words []string) {
@@ -333,6 +334,12 @@
 		f.topUp(fleet.Tokens(n))
 	case "version":
 		f.mustApply([]catalog.Change{{Body: catalog.Body{Model: modelObject(words[1])}}})
+	case "gone":
+		f.mustApply([]catalog.Change{{Body: catalog.Body{Node: &catalog.Node{
+			ID:   fleet.NodeID(words[1]),
+			Gone: true,
+		}}}})
+		f.node(words[1]).gone = true
 	case "race":
 		f.race(f.node(words[1]), f.node(words[2]))
 	case "restartAll":
@@ -489,6 +496,8 @@
 			for w := 1; w <= workspaces; w++ {
 				got = max(got, int(f.budget(f.budgets(w)[0].ID).Free))
 			}
+		case "leasedTo":
+			got = f.leasedTo(fleet.NodeID(words[1]))
 		case "enginesBehind":
 			got = f.enginesBehind(words[1])
 		case "slowestMillis":
@@ -506,6 +515,26 @@
 	}
 }
 
+// leasedTo waits for a node's quota to come back and returns what is left.
+func (f *testFleet) leasedTo(node fleet.NodeID) int {
+	leased := 0
+	for range 100 {
+		leased = 0
+		for w := 1; w <= workspaces; w++ {
+			for _, l := range f.budget(f.budgets(w)[0].ID).Leases {
+				if l.Holder.Node == node {
+					leased += int(l.Outstanding)
+				}
+			}
+		}
+		if leased == 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return leased
+}
+
 // enginesBehind waits for the engines to load a version and returns how many have
 // not. It also checks that no engine went back to an earlier version.
 func (f *testFleet) enginesBehind(version string) int {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -249,6 +249,9 @@
 	if update.Stale {
 		l.fresh.Store(false)
 	}
+	if update.Ended && !l.rejected.Swap(true) {
+		l.cfg.Log.Error(event.HolderRejected).Msg("this life of the node has ended for the ledger; it serves nothing more")
+	}
 	if update.Leader.IsValid() {
 		leader := update.Leader
 		l.leader.Store(&leader)
