--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,15 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "500")
-	}
-	os.Exit(m.Run())
+	os.Exit(rapidseed.Main(m, 500))
 }
 
 func always(fleet.Tier, fleet.Class) bool { return true }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -60,28 +60,19 @@
 }
 
 func (s *Server) chat(c *echo.Context) error {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	x, refusal := s.begin(c)
-	if refusal != nil {
-		return x.refuse(refusal)
-	}
-	r := &chatRun{exchange: x}
-	if refusal := r.parse(); refusal != nil {
-		return x.refuse(refusal)
-	}
-	s.dispatch.request(x.access.Workspace)
-	if refusal := x.reserve(r.worstPrice()); refusal != nil {
-		return x.refuse(refusal)
-	}
-	if refusal := r.run(); refusal != nil {
+	return s.serve(c, func(x *exchange) work { return &chatRun{exchange: x} })
+}
+
+// run implements work.
+func (r *chatRun) run() error {
+	if refusal := r.produce(); refusal != nil {
 		return r.fail(refusal)
 	}
 	return r.conclude()
 }
 
-// parse reads and checks the body.
-func (r *chatRun) parse() *Refusal {
+// check implements work: it reads and checks the body.
+func (r *chatRun) check() *Refusal {
 	if refusal := r.checkAge(); refusal != nil {
 		return refusal
 	}
@@ -165,9 +156,9 @@
 	return hashes
 }
 
-// worstPrice is the most that the request can cost. A token is at least one byte,
+// highestPrice implements work. A token is at least one byte,
 // so the prompt has at most as many tokens as bytes.
-func (r *chatRun) worstPrice() fleet.Tokens {
+func (r *chatRun) highestPrice() fleet.Tokens {
 	prompt := fleet.Tokens(0)
 	for _, m := range r.chat.Messages {
 		prompt += fleet.Tokens(len(m.Role) + len(m.Content) + messageOverhead)
@@ -188,9 +179,9 @@
 	return fleet.Tokens((int64(n)*price + 999) / 1000)
 }
 
-// run brings the answer, over as many attempts as it takes. A stream that breaks is
+// produce brings the answer, over as many attempts as it takes. A stream that breaks is
 // resumed behind the last token that was delivered.
-func (r *chatRun) run() *Refusal {
+func (r *chatRun) produce() *Refusal {
 	last := notRun(http.StatusBadGateway, TypeBackendFailed, "no attempt succeeded")
 	mayHaveRun := false
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
@@ -261,10 +252,9 @@
 			Int("tokens", r.delivered).
 			Msg("stream is resumed")
 	}
-	started := clock.Boot()
 	stream, err := g.client.StartStream(r.ctx, id, r.priority(), chat)
 	if err == nil {
-		err = r.relay(stream, started)
+		err = r.relay(stream)
 		stream.Close()
 	}
 	r.server.dispatch.finish(g, outcomeOf(r.ctx, err))
@@ -289,7 +279,7 @@
 }
 
 // relay passes the tokens on until the answer is whole.
-func (r *chatRun) relay(stream *backend.Stream, started time.Duration) error {
+func (r *chatRun) relay(stream *backend.Stream) error {
 	for {
 		chunk, err := stream.Next(r.ctx)
 		if err != nil {
@@ -300,7 +290,7 @@
 			r.reason = chunk.FinishReason
 			return nil
 		}
-		r.clockToken(started)
+		r.clockToken()
 		r.delivered++
 		r.text.WriteString(chunk.Text)
 		if r.stream {
@@ -314,7 +304,7 @@
 	}
 }
 
-func (r *chatRun) clockToken(_ time.Duration) {
+func (r *chatRun) clockToken() {
 	now := clock.Boot()
 	if r.firstToken == 0 {
 		r.firstToken = now - r.arrived
--- a/entry/service.go
+++ b/entry/service.go
@@ -50,20 +50,16 @@
 }
 
 func (s *Server) service(c *echo.Context) error {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	x, refusal := s.begin(c)
-	if refusal != nil {
-		return x.refuse(refusal)
-	}
-	r := &serviceRun{exchange: x}
-	if refusal := r.find(); refusal != nil {
-		return x.refuse(refusal)
-	}
-	s.dispatch.request(x.access.Workspace)
-	if refusal := x.reserve(r.call.Price); refusal != nil {
-		return x.refuse(refusal)
-	}
+	return s.serve(c, func(x *exchange) work { return &serviceRun{exchange: x} })
+}
+
+// highestPrice implements work.
+func (r *serviceRun) highestPrice() fleet.Tokens {
+	return r.call.Price
+}
+
+// run implements work.
+func (r *serviceRun) run() error {
 	defer r.release(0)
 	if r.call.Idempotent {
 		return r.runIdempotent()
@@ -71,8 +67,8 @@
 	return r.runOnce()
 }
 
-// find looks up the service and the call.
-func (r *serviceRun) find() *Refusal {
+// check implements work: it looks up the service and the call.
+func (r *serviceRun) check() *Refusal {
 	request := r.c.Request()
 	id := fleet.ServiceID(r.c.Param("service"))
 	service, ok := r.server.cfg.Link.View().Service(id)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,6 +52,8 @@
 
 // Holder is one life of one node, the owner of budget leases.
 type Holder struct {
+	_ struct{} `cbor:",toarray"`
+
 	Node        NodeID      `json:"node"`
 	Incarnation Incarnation `json:"incarnation"`
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -15,15 +14,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "500")
-	}
-	os.Exit(m.Run())
+	os.Exit(rapidseed.Main(m, 500))
 }
 
 var errDisk = errors.New("disk failed")
--- a/lease/ledger_test.go
+++ b/lease/ledger_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,15 +10,11 @@
 
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "3000")
-	}
-	os.Exit(m.Run())
+	os.Exit(rapidseed.Main(m, 3000))
 }
 
 const testBudget fleet.BudgetID = "b"
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -4,6 +4,10 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 )
 
+// The commands that come with each request, and their results, travel and are kept
+// as arrays without their fields' names: the names would be most of their bytes. A
+// field may only be added at the end.
+
 // Join registers one life of a node. A later life of the same node proves that
 // the earlier one has ended.
 type Join struct {
@@ -14,6 +18,8 @@
 // changes for each budget and repeats one until it is answered; a repeated
 // change gets its first answer again.
 type LeaseChange struct {
+	_ struct{} `cbor:",toarray"`
+
 	Holder fleet.Holder   `json:"holder"`
 	Budget fleet.BudgetID `json:"budget"`
 	Seq    uint64         `json:"seq"`
@@ -32,6 +38,8 @@
 
 // LeaseResult answers a LeaseChange.
 type LeaseResult struct {
+	_ struct{} `cbor:",toarray"`
+
 	Seq     uint64       `json:"seq"`
 	Granted fleet.Tokens `json:"granted"`
 	// Free is what the budget has left outside all leases.
@@ -51,6 +59,8 @@
 // nothing. At-most-once calls have no Body here: for them the id alone counts, and
 // another body is refused.
 type RequestKey struct {
+	_ struct{} `cbor:",toarray"`
+
 	Workspace fleet.WorkspaceID `json:"workspace"`
 	Request   fleet.RequestID   `json:"request"`
 	Body      BodySum           `json:"body"`
@@ -61,6 +71,8 @@
 
 // Settlement bills one request.
 type Settlement struct {
+	_ struct{} `cbor:",toarray"`
+
 	Key    RequestKey     `json:"key"`
 	Budget fleet.BudgetID `json:"budget"`
 	Holder fleet.Holder   `json:"holder"`
@@ -101,6 +113,8 @@
 
 // SettleResult answers one settlement.
 type SettleResult struct {
+	_ struct{} `cbor:",toarray"`
+
 	Status SettleStatus `json:"status"`
 	Billed fleet.Tokens `json:"billed"`
 	// Charged is what this settlement took from the holder's lease.
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -19,6 +19,8 @@
 
 // AccountImage is one budget in an Image.
 type AccountImage struct {
+	_ struct{} `cbor:",toarray"`
+
 	ID      fleet.BudgetID `json:"id"`
 	Prepaid fleet.Tokens   `json:"prepaid"`
 	Settled fleet.Tokens   `json:"settled"`
@@ -27,6 +29,8 @@
 
 // LeaseImage is one lease in an Image.
 type LeaseImage struct {
+	_ struct{} `cbor:",toarray"`
+
 	Holder      fleet.Holder     `json:"holder"`
 	Outstanding fleet.Tokens     `json:"outstanding"`
 	Last        LeaseResult      `json:"last"`
@@ -42,6 +46,8 @@
 
 // SettlementImage is one billed request in an Image.
 type SettlementImage struct {
+	_ struct{} `cbor:",toarray"`
+
 	Key     [16]byte         `json:"key"`
 	Tokens  fleet.Tokens     `json:"tokens"`
 	Charged fleet.Tokens     `json:"charged"`
--- a/measure/control.go
+++ b/measure/control.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
@@ -106,11 +107,34 @@
 		}
 		times = append(times, time.Since(started))
 	}
+	size, err := settlementBytes()
+	if err != nil {
+		return err
+	}
+	g.add("bytes of a settlement's command and answer", size, "bytes")
 	g.add("settlement, one at a time, p50", millis(percentile(times, 500)), "ms")
 	g.add("settlement, one at a time, p95", millis(percentile(times, 950)), "ms")
 	return nil
 }
 
+// settlementBytes returns the size of one settlement on the wire, without QUIC's
+// own part.
+func settlementBytes() (float64, error) {
+	command, err := cbor.Marshal(settleCommand(100))
+	if err != nil {
+		return 0, eris.Wrap(err, "measure: encode a command")
+	}
+	answer, err := cbor.Marshal(control.SubmitAnswer{
+		Status: control.SubmitDone,
+		Result: control.Result{Settled: []ledger.SettleResult{{
+			Status:  ledger.SettledNow,
+			Billed:  100,
+			Charged: 100,
+		}}},
+	})
+	return float64(len(command) + len(answer)), eris.Wrap(err, "measure: encode an answer")
+}
+
 func throughput(ctx context.Context, g *Group, f *testFleet) error {
 	settled, err := perSecond(func(int64) error {
 		_, err := f.nodes[1].Submit(ctx, settleCommand(1))
@@ -298,6 +322,8 @@
 }
 
 func heap() uint64 {
+	// The first run frees what only finalizers held.
+	runtime.GC()
 	runtime.GC()
 	stats := runtime.MemStats{}
 	runtime.ReadMemStats(&stats)
--- a/orders/planner_test.go
+++ b/orders/planner_test.go
@@ -1,7 +1,6 @@
 package orders
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -11,15 +10,11 @@
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "2000")
-	}
-	os.Exit(m.Run())
+	os.Exit(rapidseed.Main(m, 2000))
 }
 
 // flight is an order on its way; it arrives at some time before its limit.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,15 +10,11 @@
 
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/rapidseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.checks", "300")
-	}
-	os.Exit(m.Run())
+	os.Exit(rapidseed.Main(m, 300))
 }
 
 func servers(n, slots int) []catalog.BackendServer {
