--- /dev/null
+++ b/control/submit.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+func (r *Replica) apply(entries []consensus.Entry) {
+	all := effects{}
+	for _, entry := range entries {
+		r.applied = entry.Index
+		if entry.Kind != consensus.EntryCommand {
+			r.answer(entry, Result{})
+			continue
+		}
+		command := Command{}
+		if err := wire.Decode(entry.Data, &command); err != nil {
+			// Every replica fails alike on such an entry, which no leader
+			// of this version can have written.
+			r.fail(eris.Wrapf(err, "control: decode entry %d", entry.Index))
+			return
+		}
+		result, effect := r.machine.apply(command)
+		all.catalog = all.catalog || effect.catalog
+		all.ending = all.ending || effect.ending
+		all.recalls = append(all.recalls, effect.recalls...)
+		r.answer(entry, result)
+	}
+	r.appliedCount.Add(uint64(len(entries)))
+	if all.any() {
+		r.notify(all)
+	}
+}
+
+func (r *Replica) answer(entry consensus.Entry, result Result) {
+	w, ok := r.waiting[entry.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiting, entry.Index)
+	if w.term != entry.Term {
+		w.answer <- SubmitAnswer{
+			Status: SubmitUnknown,
+			Reason: "another leader's entry took the place",
+		}
+		return
+	}
+	w.answer <- SubmitAnswer{
+		Status: SubmitDone,
+		Result: result,
+	}
+}
+
+func (r *Replica) releaseWaiting(status SubmitStatus, reason string) {
+	for index, w := range r.waiting {
+		w.answer <- SubmitAnswer{
+			Status: status,
+			Reason: reason,
+		}
+		delete(r.waiting, index)
+	}
+}
+
+func (r *Replica) propose(p proposal) {
+	if r.failed != nil {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "this replica's disk failed",
+		}
+		return
+	}
+	if !r.core.IsLeader() {
+		p.answer <- SubmitAnswer{
+			Status: SubmitNotLeader,
+			Leader: r.leaderAddress(),
+		}
+		return
+	}
+	if !r.open() {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the control group is still forming",
+		}
+		return
+	}
+	p.command.At = clock.Wall()
+	data, err := cbor.Marshal(p.command)
+	if err != nil {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "encode the command: " + err.Error(),
+		}
+		return
+	}
+	index, term, ok := r.core.Propose(data)
+	if !ok {
+		p.answer <- SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the leader is handing over",
+		}
+		return
+	}
+	r.waiting[index] = waiter{
+		term:   term,
+		answer: p.answer,
+	}
+}
+
+// Submit hands a command to this replica.
+func (r *Replica) Submit(ctx context.Context, command Command) SubmitAnswer {
+	p := proposal{
+		command: command,
+		answer:  make(chan SubmitAnswer, 1),
+	}
+	select {
+	case r.proposals <- p:
+	case <-r.ctx.Done():
+		return SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the replica is stopping",
+		}
+	case <-ctx.Done():
+		return SubmitAnswer{
+			Status: SubmitUnavailable,
+			Reason: "the replica is busy",
+		}
+	}
+	select {
+	case answer := <-p.answer:
+		return answer
+	case <-r.ctx.Done():
+	case <-ctx.Done():
+	}
+	return SubmitAnswer{
+		Status: SubmitUnknown,
+		Reason: "no answer in time",
+	}
+}
--- a/measure/traffic.go
+++ b/measure/traffic.go
@@ -24,6 +24,18 @@
 	Admission: admission.PolicyFirstServed,
 }
 
+// compared lists what is measured beside one another.
+var compared = []struct {
+	name     string
+	policies entry.Policies
+}{
+	{name: "waxwingreel"},
+	{
+		name:     "baseline",
+		policies: baseline,
+	},
+}
+
 const floodTime = 8 * time.Second
 
 func kind(name, key string, share float64, prompt, tokens int, class fleet.Class) load.Kind {
@@ -80,16 +92,7 @@
 		Setting: "One node before 4 stand-in engines of 8 slots, 3 ms for each token. The rate of the flood is beyond what the engines can serve. \"Alone\" is the wanted work without the flood, in the same run.",
 	}
 	for _, f := range floods {
-		for _, p := range []struct {
-			name     string
-			policies entry.Policies
-		}{
-			{name: "waxwingreel"},
-			{
-				name:     "baseline",
-				policies: baseline,
-			},
-		} {
+		for _, p := range compared {
 			if err := runFlood(&g, f, p.name, p.policies); err != nil {
 				return g, err
 			}
@@ -160,16 +163,7 @@
 		Name:    "storm",
 		Setting: "One node before 4 stand-in engines of 8 slots, 3 ms for each token; lookups of 8 tokens at 50 a second, ten times that for 4 seconds, and 2 long requests a second throughout. The engines could serve about 1,000 lookups a second.",
 	}
-	for _, p := range []struct {
-		name     string
-		policies entry.Policies
-	}{
-		{name: "waxwingreel"},
-		{
-			name:     "baseline",
-			policies: baseline,
-		},
-	} {
+	for _, p := range compared {
 		if err := runStorm(&g, p.name, p.policies); err != nil {
 			return g, err
 		}
@@ -233,16 +227,7 @@
 		Name:    "placement",
 		Setting: "One node before 4 stand-in engines of 8 slots whose caches hold 512 blocks each and whose cache events are late and incomplete; 24 conversations of 2,000 shared bytes at 60 requests a second.",
 	}
-	for _, p := range []struct {
-		name     string
-		policies entry.Policies
-	}{
-		{name: "waxwingreel"},
-		{
-			name:     "baseline",
-			policies: baseline,
-		},
-	} {
+	for _, p := range compared {
 		if err := runPrefixes(&g, p.name, p.policies); err != nil {
 			return g, err
 		}
