One owner of control state, one way to bill, one way to replace a file

The quota keeper and the dispatcher each had the same loop, do and ask: entry/owner.go serves both. Chats and idempotent calls built and recorded their bills twice: exchange.bill and exchange.settle. What nothing called is gone: Core.Heard, Core.LeaseEnd, Queue.Waiting, Fleet.Runs, a counter, a constant and two wrappers.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -151,11 +151,6 @@
 	return q.waiting
 }
 
-// Waiting returns how many requests of a tier wait.
-func (q *Queue) Waiting(tier fleet.Tier) int {
-	return q.tiers[tier].waiting
-}
-
 // Offer queues a request, or refuses it. The request that it displaces, if any, is
 // returned as well.
 func (q *Queue) Offer(r *Request, now time.Duration) (refused *Refusal, displaced *Request) {
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -166,5 +166,4 @@
 	// over another connection, how far it is.
 	stallProbe   = 1500 * time.Millisecond
 	probeTimeout = time.Second
-	reportPeriod = 500 * time.Millisecond
 )
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -203,11 +203,6 @@
 	return c.role == RoleLeader && !c.transferring && c.commit >= c.termStart && now < c.leaseEnd()
 }
 
-// LeaseEnd returns the time at which the leader's lease ends unless it is renewed.
-func (c *Core) LeaseEnd() time.Duration {
-	return c.leaseEnd()
-}
-
 func (c *Core) leaseEnd() time.Duration {
 	return c.quorumHeard() + c.cfg.ElectionTimeout*9/10
 }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -109,14 +109,6 @@
 	return p != nil && p.match >= c.commit && c.now-p.heard < c.cfg.ElectionTimeout
 }
 
-// Heard returns how long ago the leader last had an answer of a member.
-func (c *Core) Heard(id ReplicaID) time.Duration {
-	if p := c.progress[id]; p != nil {
-		return c.now - p.heard
-	}
-	return c.now
-}
-
 func (c *Core) replicateAll() {
 	for _, r := range c.members.Replicas {
 		if r.ID != c.cfg.ID {
--- a/control/replica.go
+++ b/control/replica.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,7 +15,6 @@
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/journal"
-	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -99,7 +97,6 @@
 
 	subscribersMu sync.Mutex
 	subscribers   map[*subscriber]struct{}
-	appliedCount  atomic.Uint64
 }
 
 type proposal struct {
@@ -192,30 +189,7 @@
 	if _, err := rand.Read(raw); err != nil {
 		return 0, eris.Wrap(err, "control: make a replica id")
 	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(raw)), writeSynced(disk, name, raw)
-}
-
-func writeSynced(disk journal.Disk, name string, data []byte) error {
-	file, err := disk.Open(name + ".new")
-	if err != nil {
-		return err
-	}
-	if err := file.Truncate(0); err != nil {
-		return eris.Wrapf(err, "control: truncate %s", name)
-	}
-	if _, err := file.Write(data); err != nil {
-		return eris.Wrapf(err, "control: write %s", name)
-	}
-	if err := file.Sync(); err != nil {
-		return eris.Wrapf(err, "control: sync %s", name)
-	}
-	if err := file.Close(); err != nil {
-		return eris.Wrapf(err, "control: close %s", name)
-	}
-	if err := disk.Rename(name+".new", name); err != nil {
-		return err
-	}
-	return disk.SyncFolder()
+	return consensus.ReplicaID(binary.BigEndian.Uint64(raw)), journal.Replace(disk, name, raw)
 }
 
 // Close stops the replica.
@@ -441,12 +415,3 @@
 	address, _ := r.addressOf(r.core.Members(), r.core.Leader())
 	return address
 }
-
-// ledgerEnding is read by subscribers on the control goroutine.
-func (r *Replica) ledgerEnding(node fleet.NodeID) []fleet.Holder {
-	return r.machine.ledger.Ending(node)
-}
-
-func (r *Replica) ledgerRecalls(holder fleet.Holder) []ledger.Recall {
-	return r.machine.ledger.Recalls(holder)
-}
--- a/control/serve.go
+++ b/control/serve.go
@@ -211,7 +211,7 @@
 	update := Update{
 		Stale:  r.failed != nil || !r.core.Fresh(now, freshWithin),
 		Leader: r.leaderAddress(),
-		Ending: r.ledgerEnding(s.holder.Node),
+		Ending: r.machine.ledger.Ending(s.holder.Node),
 		Ended:  r.ended(s.holder),
 	}
 	if !update.Stale && r.machine.catalog.Version() > s.version {
@@ -222,7 +222,7 @@
 	update.Recalls = s.takeRecalls()
 	if s.full {
 		s.full = false
-		update.Recalls = r.ledgerRecalls(s.holder)
+		update.Recalls = r.machine.ledger.Recalls(s.holder)
 	}
 	return update
 }
--- a/control/submit.go
+++ b/control/submit.go
@@ -32,7 +32,6 @@
 		all.recalls = append(all.recalls, effect.recalls...)
 		r.answer(entry, result)
 	}
-	r.appliedCount.Add(uint64(len(entries)))
 	if all.any() {
 		r.notify(all)
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,7 +18,6 @@
 	"github.com/waxwingreel/waxwingreel/caller"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/event"
-	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/node"
 	"github.com/waxwingreel/waxwingreel/settings"
 	"github.com/waxwingreel/waxwingreel/standin"
@@ -34,11 +33,10 @@
 
 // Fleet is a running fleet with its stand-ins.
 type Fleet struct {
-	cfg      Config
-	nodes    []*node.Node
-	servers  []*http.Server
-	services map[fleet.ServiceID][]*standin.Service
-	data     string
+	cfg     Config
+	nodes   []*node.Node
+	servers []*http.Server
+	data    string
 }
 
 // Start starts stand-ins for the ticket's backend servers, and the nodes with
@@ -49,9 +47,8 @@
 		return nil, eris.Wrap(err, "demo: make a data folder")
 	}
 	f := &Fleet{
-		cfg:      cfg,
-		services: map[fleet.ServiceID][]*standin.Service{},
-		data:     data,
+		cfg:  cfg,
+		data: data,
 	}
 	if err := f.open(); err != nil {
 		f.Close()
@@ -94,7 +91,7 @@
 		return eris.Wrapf(err, "demo: stand-in %s", spec.ID)
 	}
 	server := &http.Server{
-		Handler:           f.standin(spec),
+		Handler:           newStandin(spec),
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	f.servers = append(f.servers, server)
@@ -102,14 +99,12 @@
 	return nil
 }
 
-func (f *Fleet) standin(spec catalog.BackendServer) http.Handler {
+func newStandin(spec catalog.BackendServer) http.Handler {
 	if spec.Service != "" {
-		service := standin.NewService(standin.ServiceConfig{
+		return standin.NewService(standin.ServiceConfig{
 			Name: string(spec.ID),
 			Work: 5 * time.Millisecond,
 		})
-		f.services[spec.Service] = append(f.services[spec.Service], service)
-		return service
 	}
 	return standin.NewEngine(standin.EngineConfig{
 		Name:            string(spec.ID),
@@ -135,17 +130,6 @@
 	_ = os.RemoveAll(f.data)
 }
 
-// Runs adds up how often the stand-ins of a service ran each request id.
-func (f *Fleet) Runs(service fleet.ServiceID) map[string]int {
-	sum := map[string]int{}
-	for _, s := range f.services[service] {
-		for id, n := range s.Runs() {
-			sum[id] += n
-		}
-	}
-	return sum
-}
-
 // AwaitReady waits until all nodes are ready and know one another.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, n := range f.nodes {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -350,39 +349,12 @@
 		output = fleet.Tokens(r.delivered)
 	}
 	tokens := price(r.model, min(prompt, r.model.MaxPrompt), min(output, r.chat.MaxTokens))
-	sum := sha256.Sum256(r.body)
-	return ledger.Settlement{
-		Key: ledger.RequestKey{
-			Workspace: r.access.Workspace,
-			Request:   r.id,
-			Body:      ledger.BodySum(sum[:len(ledger.BodySum{})]),
-		},
-		Budget:  r.access.Budget,
-		Holder:  r.server.cfg.Holder,
-		Tokens:  min(tokens, r.reserved),
-		Attempt: randomAttempt(),
-		Partial: partial,
-	}
-}
-
-// settle records the bill and frees the rest of the quota.
-func (r *chatRun) settle(partial bool) (ledger.SettleResult, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), settleTimeout)
-	defer cancel()
-	bill := r.settlement(partial)
-	result, err := r.server.billing.Settle(ctx, bill)
-	if err != nil {
-		// The bill is kept here and handed in later, so its quota is spent.
-		r.release(bill.Tokens)
-		return result, err
-	}
-	r.release(result.Charged)
-	return result, nil
+	return r.bill(r.body, min(tokens, r.reserved), partial)
 }
 
 // conclude has the whole answer billed and then lets its last piece go.
 func (r *chatRun) conclude() error {
-	result, err := r.settle(false)
+	result, err := r.settle(r.settlement(false))
 	if err != nil {
 		return r.end(unknown(http.StatusServiceUnavailable, TypeNotRecorded, "the answer is complete but its bill could not be recorded on a second node").withHint("repeat the request under the same id; it is billed once").withRetry(time.Second).because(burn.CauseUnknownOutcome))
 	}
@@ -402,7 +374,7 @@
 // rest.
 func (r *chatRun) fail(refusal *Refusal) error {
 	if r.delivered > 0 && r.stream {
-		if result, err := r.settle(true); err == nil {
+		if result, err := r.settle(r.settlement(true)); err == nil {
 			refusal.BilledTokens = result.Billed
 		}
 	} else {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/admission"
@@ -55,6 +54,7 @@
 // dispatcher owns the queues and the placement tables. Their state belongs to one
 // goroutine.
 type dispatcher struct {
+	*owner
 	node        fleet.NodeID
 	queueLength int
 	policy      placement.Policy
@@ -65,10 +65,6 @@
 	next        uint64
 	nodes       []fleet.NodeID
 	view        *catalog.View
-	work        chan func()
-	ctx         context.Context
-	cancel      context.CancelFunc
-	wait        sync.WaitGroup
 }
 
 type dispatchPool struct {
@@ -96,8 +92,8 @@
 }
 
 func newDispatcher(cfg dispatchConfig) *dispatcher {
-	ctx, cancel := context.WithCancel(context.Background())
 	d := &dispatcher{
+		owner:       newOwner(),
 		node:        cfg.node,
 		queueLength: cfg.queueLength,
 		policy:      cfg.policy,
@@ -106,52 +102,11 @@
 		retries:     map[fleet.WorkspaceID]*retry.Budget{},
 		clients:     cfg.clients,
 		view:        catalog.NewView(),
-		work:        make(chan func(), 1024),
-		ctx:         ctx,
-		cancel:      cancel,
 	}
-	d.wait.Go(func() {
-		ticker := time.NewTicker(dispatchTick)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case f := <-d.work:
-				f()
-			case <-ticker.C:
-				d.expire()
-			}
-			d.startWaiting()
-		}
-	})
+	d.start(dispatchTick, d.expire, d.startWaiting)
 	return d
 }
 
-func (d *dispatcher) close() {
-	d.cancel()
-	d.wait.Wait()
-}
-
-func (d *dispatcher) do(f func()) {
-	select {
-	case d.work <- f:
-	case <-d.ctx.Done():
-	}
-}
-
-func (d *dispatcher) ask(f func()) {
-	done := make(chan struct{})
-	d.do(func() {
-		f()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-d.ctx.Done():
-	}
-}
-
 // configure puts a configuration and a set of live nodes in force.
 func (d *dispatcher) configure(view *catalog.View, nodes []fleet.NodeID) {
 	d.do(func() {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -247,3 +248,36 @@
 	}
 	return binary.BigEndian.Uint64(raw[:])
 }
+
+// bill makes the bill of the request, whose content tells it from other work under
+// the same id.
+func (x *exchange) bill(content []byte, tokens fleet.Tokens, partial bool) ledger.Settlement {
+	sum := sha256.Sum256(content)
+	return ledger.Settlement{
+		Key: ledger.RequestKey{
+			Workspace: x.access.Workspace,
+			Request:   x.id,
+			Body:      ledger.BodySum(sum[:len(ledger.BodySum{})]),
+		},
+		Budget:  x.access.Budget,
+		Holder:  x.server.cfg.Holder,
+		Tokens:  tokens,
+		Attempt: randomAttempt(),
+		Partial: partial,
+	}
+}
+
+// settle records a bill and frees the rest of the quota. It goes on when the caller
+// has left.
+func (x *exchange) settle(bill ledger.Settlement) (ledger.SettleResult, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), settleTimeout)
+	defer cancel()
+	result, err := x.server.billing.Settle(ctx, bill)
+	if err != nil {
+		// The bill is kept here and handed in later, so its quota is spent.
+		x.release(bill.Tokens)
+		return result, err
+	}
+	x.release(result.Charged)
+	return result, nil
+}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/clock"
@@ -34,15 +33,12 @@
 
 // quotaKeeper owns the node's lease pool. Its state belongs to one goroutine.
 type quotaKeeper struct {
+	*owner
 	ledger  Ledger
 	pool    *lease.Pool
 	waiting map[fleet.BudgetID][]*quotaWaiter
 	// sending is true while a command of lease changes is under way.
 	sending bool
-	work    chan func()
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
 }
 
 type quotaWaiter struct {
@@ -53,59 +49,16 @@
 }
 
 func newQuotaKeeper(pool *lease.Pool, l Ledger) *quotaKeeper {
-	ctx, cancel := context.WithCancel(context.Background())
 	k := &quotaKeeper{
+		owner:   newOwner(),
 		ledger:  l,
 		pool:    pool,
 		waiting: map[fleet.BudgetID][]*quotaWaiter{},
-		work:    make(chan func(), 1024),
-		ctx:     ctx,
-		cancel:  cancel,
 	}
-	k.wait.Go(func() {
-		ticker := time.NewTicker(quotaTick)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case f := <-k.work:
-				f()
-			case <-ticker.C:
-				k.expire()
-			}
-			k.send()
-		}
-	})
+	k.start(quotaTick, k.expire, k.send)
 	return k
 }
 
-func (k *quotaKeeper) close() {
-	k.cancel()
-	k.wait.Wait()
-}
-
-// do runs f on the keeper's goroutine, later.
-func (k *quotaKeeper) do(f func()) {
-	select {
-	case k.work <- f:
-	case <-k.ctx.Done():
-	}
-}
-
-// ask runs f on the keeper's goroutine and waits for it.
-func (k *quotaKeeper) ask(f func()) {
-	done := make(chan struct{})
-	k.do(func() {
-		f()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-k.ctx.Done():
-	}
-}
-
 // reserve sets quota aside, asking the ledger for more if need be. It returns nil
 // when that is done.
 func (k *quotaKeeper) reserve(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) *shortage {
--- a/entry/service.go
+++ b/entry/service.go
@@ -190,26 +190,11 @@
 
 // settleAndAnswer bills an idempotent call and then answers.
 func (r *serviceRun) settleAndAnswer(answer backend.Answer) error {
-	sum := sha256.Sum256(append([]byte(r.call.Method+" "+r.path+"?"+r.c.Request().URL.RawQuery+"\n"), r.body...))
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), settleTimeout)
-	defer cancel()
-	bill := ledger.Settlement{
-		Key: ledger.RequestKey{
-			Workspace: r.access.Workspace,
-			Request:   r.id,
-			Body:      ledger.BodySum(sum[:len(ledger.BodySum{})]),
-		},
-		Budget:  r.access.Budget,
-		Holder:  r.server.cfg.Holder,
-		Tokens:  r.call.Price,
-		Attempt: randomAttempt(),
-	}
-	result, err := r.server.billing.Settle(ctx, bill)
+	content := append([]byte(r.call.Method+" "+r.path+"?"+r.c.Request().URL.RawQuery+"\n"), r.body...)
+	result, err := r.settle(r.bill(content, r.call.Price, false))
 	if err != nil {
-		r.release(bill.Tokens)
 		return r.refuse(unknown(http.StatusServiceUnavailable, TypeNotRecorded, "the call ran but its bill could not be recorded on a second node").withHint("repeat it under the same id; it is billed once").withRetry(time.Second).because(burn.CauseUnknownOutcome))
 	}
-	r.release(result.Charged)
 	r.record("")
 	return r.send(answer, result.Billed, false)
 }
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -246,14 +246,14 @@
 	if err != nil {
 		return eris.Wrap(err, "journal: encode a snapshot")
 	}
-	if err := j.writeFile(j.snapshotName(), appendRecord(nil, payload)); err != nil {
+	if err := writeFile(j.disk, j.snapshotName(), appendRecord(nil, payload)); err != nil {
 		return err
 	}
 	tail, err := encodeRecords(&hard, entries)
 	if err != nil {
 		return err
 	}
-	if err := j.writeFile(j.logName()+".new", tail); err != nil {
+	if err := writeFile(j.disk, j.logName()+".new", tail); err != nil {
 		return err
 	}
 	if err := j.disk.SyncFolder(); err != nil {
@@ -275,8 +275,19 @@
 	return nil
 }
 
-func (j *Journal) writeFile(name string, data []byte) error {
-	file, err := j.disk.Open(name)
+// Replace puts a file in another's place, whole and synced, or leaves the other.
+func Replace(disk Disk, name string, data []byte) error {
+	if err := writeFile(disk, name+".new", data); err != nil {
+		return err
+	}
+	if err := disk.Rename(name+".new", name); err != nil {
+		return err
+	}
+	return disk.SyncFolder()
+}
+
+func writeFile(disk Disk, name string, data []byte) error {
+	file, err := disk.Open(name)
 	if err != nil {
 		return err
 	}
--- a/journal/queue.go
+++ b/journal/queue.go
@@ -62,14 +62,23 @@
 
 // Append adds items and syncs them.
 func (q *Queue) Append(items ...[]byte) error {
+	if _, err := q.file.Write(frame(items)); err != nil {
+		return eris.Wrapf(err, "journal: write %s", q.name)
+	}
+	return eris.Wrapf(q.file.Sync(), "journal: sync %s", q.name)
+}
+
+func frame(items [][]byte) []byte {
 	var buffer []byte
 	for _, item := range items {
 		buffer = appendRecord(buffer, item)
 	}
-	if _, err := q.file.Write(buffer); err != nil {
-		return eris.Wrapf(err, "journal: write %s", q.name)
-	}
-	return eris.Wrapf(q.file.Sync(), "journal: sync %s", q.name)
+	return buffer
+}
+
+// ReplaceQueue puts a queue with these items in another's place.
+func ReplaceQueue(disk Disk, name string, items ...[]byte) error {
+	return Replace(disk, name, frame(items))
 }
 
 // Clear drops all items.
--- a/node/stop.go
+++ b/node/stop.go
@@ -137,22 +137,5 @@
 	if err != nil {
 		return eris.Wrap(err, "node: encode the configuration")
 	}
-	next := viewFile + ".new"
-	queue, _, err := journal.OpenQueue(v.disk, next)
-	if err != nil {
-		return err
-	}
-	if err := queue.Clear(); err != nil {
-		return err
-	}
-	if err := queue.Append(item); err != nil {
-		return err
-	}
-	if err := queue.Close(); err != nil {
-		return err
-	}
-	if err := v.disk.Rename(next, viewFile); err != nil {
-		return err
-	}
-	return v.disk.SyncFolder()
+	return journal.ReplaceQueue(v.disk, viewFile, item)
 }
