--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 # Looks for inputs that break the decoders.
 fuzz:
-	$(GO) test ./journal -run XXX -fuzz FuzzReadRecords -fuzztime 30s
+	$(GO) test ./commitlog -run XXX -fuzz FuzzReadRecords -fuzztime 30s
 	$(GO) test ./catalog -run XXX -fuzz FuzzParseTicket -fuzztime 30s
 	$(GO) test ./settings -run XXX -fuzz FuzzParse -fuzztime 30s
 	$(GO) test ./wire -run XXX -fuzz FuzzDecode -fuzztime 30s
--- a/billing/billing.go
+++ b/billing/billing.go
@@ -22,10 +22,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -82,7 +82,7 @@
 	Ledger     Ledger
 	Peers      Caller
 	// Disk keeps held settlements across restarts; nil on a node without one.
-	Disk journal.Disk
+	Disk commitlog.Disk
 	// Refund hears of held settlements of this node that were not billed after
 	// all.
 	Refund func(budget fleet.BudgetID, tokens fleet.Tokens)
@@ -92,7 +92,7 @@
 // Recorder records settlements.
 type Recorder struct {
 	cfg    Config
-	queue  *journal.Queue
+	queue  *commitlog.Queue
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -143,7 +143,7 @@
 }
 
 func (r *Recorder) openQueue() error {
-	queue, items, err := journal.OpenQueue(r.cfg.Disk, "held-settlements")
+	queue, items, err := commitlog.OpenQueue(r.cfg.Disk, "held-settlements")
 	if err != nil {
 		return err
 	}
--- a/journal/disk.go
+++ b/commitlog/disk.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"io"
--- a/journal/journal.go
+++ b/commitlog/journal.go
@@ -1,4 +1,4 @@
-// Package journal keeps one consensus group's term, vote, log and snapshot in the
+// Package commitlog keeps one consensus group's term, vote, log and snapshot in the
 // data folder.
 //
 // A generation g of the journal is the file log-g, which holds records of the
@@ -12,7 +12,7 @@
 //
 // A crash at any point leaves one whole generation: log-g is there only if all of
 // its generation was synced. Opening takes the highest one.
-package journal
+package commitlog
 
 import (
 	"fmt"
@@ -109,10 +109,10 @@
 	}
 	records, sound, err := readRecords(data)
 	if err != nil {
-		return Contents{}, eris.Wrapf(err, "journal: read %s", j.logName())
+		return Contents{}, eris.Wrapf(err, "commitlog: read %s", j.logName())
 	}
 	if err := contents.replay(records); err != nil {
-		return Contents{}, eris.Wrapf(err, "journal: replay %s", j.logName())
+		return Contents{}, eris.Wrapf(err, "commitlog: replay %s", j.logName())
 	}
 	return contents, j.openLog(int64(sound))
 }
@@ -124,10 +124,10 @@
 	}
 	// The torn tail must be gone before anything is written behind it.
 	if err := file.Truncate(size); err != nil {
-		return eris.Wrapf(err, "journal: truncate %s", j.logName())
+		return eris.Wrapf(err, "commitlog: truncate %s", j.logName())
 	}
 	if err := file.Sync(); err != nil {
-		return eris.Wrapf(err, "journal: sync %s", j.logName())
+		return eris.Wrapf(err, "commitlog: sync %s", j.logName())
 	}
 	j.log = file
 	j.logBytes = size
@@ -195,10 +195,10 @@
 		return nil
 	}
 	if _, err := j.log.Write(buffer); err != nil {
-		return j.fail(eris.Wrapf(err, "journal: write %s", j.logName()))
+		return j.fail(eris.Wrapf(err, "commitlog: write %s", j.logName()))
 	}
 	if err := j.log.Sync(); err != nil {
-		return j.fail(eris.Wrapf(err, "journal: sync %s", j.logName()))
+		return j.fail(eris.Wrapf(err, "commitlog: sync %s", j.logName()))
 	}
 	j.logBytes += int64(len(buffer))
 	return nil
@@ -244,7 +244,7 @@
 	j.generation++
 	payload, err := cbor.Marshal(snapshot)
 	if err != nil {
-		return eris.Wrap(err, "journal: encode a snapshot")
+		return eris.Wrap(err, "commitlog: encode a snapshot")
 	}
 	if err := writeFile(j.disk, j.snapshotName(), appendRecord(nil, payload)); err != nil {
 		return err
@@ -293,15 +293,15 @@
 	}
 	// A crashed earlier try may have left a file of this name.
 	if err := file.Truncate(0); err != nil {
-		return eris.Wrapf(err, "journal: truncate %s", name)
+		return eris.Wrapf(err, "commitlog: truncate %s", name)
 	}
 	if _, err := file.Write(data); err != nil {
-		return eris.Wrapf(err, "journal: write %s", name)
+		return eris.Wrapf(err, "commitlog: write %s", name)
 	}
 	if err := file.Sync(); err != nil {
-		return eris.Wrapf(err, "journal: sync %s", name)
+		return eris.Wrapf(err, "commitlog: sync %s", name)
 	}
-	return eris.Wrapf(file.Close(), "journal: close %s", name)
+	return eris.Wrapf(file.Close(), "commitlog: close %s", name)
 }
 
 func (j *Journal) fail(err error) error {
@@ -311,5 +311,5 @@
 
 // Close closes the log file.
 func (j *Journal) Close() error {
-	return eris.Wrap(j.log.Close(), "journal: close")
+	return eris.Wrap(j.log.Close(), "commitlog: close")
 }
--- a/journal/queue.go
+++ b/commitlog/queue.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"slices"
@@ -28,14 +28,14 @@
 	}
 	items, sound, err := readItems(data)
 	if err != nil {
-		return nil, nil, eris.Wrapf(err, "journal: read %s", name)
+		return nil, nil, eris.Wrapf(err, "commitlog: read %s", name)
 	}
 	file, err := disk.Open(name)
 	if err != nil {
 		return nil, nil, err
 	}
 	if err := file.Truncate(int64(sound)); err != nil {
-		return nil, nil, eris.Wrapf(err, "journal: truncate %s", name)
+		return nil, nil, eris.Wrapf(err, "commitlog: truncate %s", name)
 	}
 	if err := disk.SyncFolder(); err != nil {
 		return nil, nil, err
@@ -63,9 +63,9 @@
 // Append adds items and syncs them.
 func (q *Queue) Append(items ...[]byte) error {
 	if _, err := q.file.Write(frame(items)); err != nil {
-		return eris.Wrapf(err, "journal: write %s", q.name)
+		return eris.Wrapf(err, "commitlog: write %s", q.name)
 	}
-	return eris.Wrapf(q.file.Sync(), "journal: sync %s", q.name)
+	return eris.Wrapf(q.file.Sync(), "commitlog: sync %s", q.name)
 }
 
 func frame(items [][]byte) []byte {
@@ -84,12 +84,12 @@
 // Clear drops all items.
 func (q *Queue) Clear() error {
 	if err := q.file.Truncate(0); err != nil {
-		return eris.Wrapf(err, "journal: truncate %s", q.name)
+		return eris.Wrapf(err, "commitlog: truncate %s", q.name)
 	}
-	return eris.Wrapf(q.file.Sync(), "journal: sync %s", q.name)
+	return eris.Wrapf(q.file.Sync(), "commitlog: sync %s", q.name)
 }
 
 // Close closes the file.
 func (q *Queue) Close() error {
-	return eris.Wrapf(q.file.Close(), "journal: close %s", q.name)
+	return eris.Wrapf(q.file.Close(), "commitlog: close %s", q.name)
 }
--- a/journal/record.go
+++ b/commitlog/record.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"encoding/binary"
@@ -21,7 +21,7 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrCorrupt says that a file holds damage that a crash cannot explain.
-var ErrCorrupt = eris.New("journal: corrupt")
+var ErrCorrupt = eris.New("commitlog: corrupt")
 
 // record is one record of a log file. Exactly one field is set.
 type record struct {
@@ -39,7 +39,7 @@
 func encodeRecord(buffer []byte, r record) ([]byte, error) {
 	payload, err := cbor.Marshal(r)
 	if err != nil {
-		return nil, eris.Wrap(err, "journal: encode a record")
+		return nil, eris.Wrap(err, "commitlog: encode a record")
 	}
 	return appendRecord(buffer, payload), nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -11,10 +11,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/consensus"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -61,7 +61,7 @@
 	// Bootstrap lets this replica start a new group when every peer says that
 	// there is none.
 	Bootstrap bool
-	Disk      journal.Disk
+	Disk      commitlog.Disk
 	Endpoint  *wire.Endpoint
 	Log       *event.Log
 }
@@ -71,7 +71,7 @@
 type Replica struct {
 	cfg     Config
 	id      consensus.ReplicaID
-	journal *journal.Journal
+	journal *commitlog.Journal
 	core    *consensus.Core
 	machine *machine
 	applied consensus.Index
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store, contents, err := journal.Open(cfg.Disk, mainGroup)
+	store, contents, err := commitlog.Open(cfg.Disk, mainGroup)
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 }
 
 // replicaID reads the disk's replica id, or makes one for an empty disk.
-func replicaID(disk journal.Disk) (consensus.ReplicaID, error) {
+func replicaID(disk commitlog.Disk) (consensus.ReplicaID, error) {
 	const name = "replica-id"
 	names, err := disk.Names()
 	if err != nil {
@@ -189,7 +189,7 @@
 	if _, err := rand.Read(raw); err != nil {
 		return 0, eris.Wrap(err, "control: make a replica id")
 	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(raw)), journal.Replace(disk, name, raw)
+	return consensus.ReplicaID(binary.BigEndian.Uint64(raw)), commitlog.Replace(disk, name, raw)
 }
 
 // Close stops the replica.
--- a/measure/control.go
+++ b/measure/control.go
@@ -14,10 +14,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/consensus"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/ledger"
 )
 
@@ -287,12 +287,12 @@
 		return 0, eris.Wrap(err, "measure: make a folder")
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	disk, err := journal.OpenFolder(filepath.Join(folder, "data"))
+	disk, err := commitlog.OpenFolder(filepath.Join(folder, "data"))
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = disk.Close() }()
-	store, _, err := journal.Open(disk, 0)
+	store, _, err := commitlog.Open(disk, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -310,7 +310,7 @@
 	}
 	_ = store.Close()
 	started := time.Now()
-	again, contents, err := journal.Open(disk, 0)
+	again, contents, err := commitlog.Open(disk, 0)
 	if err != nil {
 		return 0, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -18,11 +18,11 @@
 	"github.com/waxwingreel/waxwingreel/billing"
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/entry"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -64,7 +64,7 @@
 	seq      atomic.Uint64
 	state    atomic.Value
 	joined   atomic.Bool
-	folder   *journal.Folder
+	folder   *commitlog.Folder
 	endpoint *wire.Endpoint
 	replica  *control.Replica
 	issuer   *orders.Issuer
@@ -135,7 +135,7 @@
 
 func (n *Node) openReplica() error {
 	s := n.cfg.Settings
-	folder, err := journal.OpenFolder(s.Control.DataFolder)
+	folder, err := commitlog.OpenFolder(s.Control.DataFolder)
 	if err != nil {
 		return err
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -9,9 +9,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/journal"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -112,14 +112,14 @@
 // viewStore keeps the configuration in force on the node's disk, so that the node
 // does not go back to an earlier one when it starts again.
 type viewStore struct {
-	disk journal.Disk
+	disk commitlog.Disk
 }
 
 const viewFile = "configuration"
 
 // Load implements uplink.Store.
 func (v *viewStore) Load() (catalog.Delta, bool) {
-	queue, items, err := journal.OpenQueue(v.disk, viewFile)
+	queue, items, err := commitlog.OpenQueue(v.disk, viewFile)
 	if err != nil || len(items) == 0 {
 		return catalog.Delta{}, false
 	}
@@ -137,5 +137,5 @@
 	if err != nil {
 		return eris.Wrap(err, "node: encode the configuration")
 	}
-	return journal.ReplaceQueue(v.disk, viewFile, item)
+	return commitlog.ReplaceQueue(v.disk, viewFile, item)
 }
