--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/loop"
 	"github.com/waxwingreel/waxwingreel/placement"
 	"github.com/waxwingreel/waxwingreel/retry"
 )
@@ -54,7 +55,7 @@
 // dispatcher owns the queues and the placement tables. Their state belongs to one
 // goroutine.
 type dispatcher struct {
-	*owner
+	*loop.Loop
 	node        fleet.NodeID
 	queueLength int
 	policy      placement.Policy
@@ -93,7 +94,7 @@
 
 func newDispatcher(cfg dispatchConfig) *dispatcher {
 	d := &dispatcher{
-		owner:       newOwner(),
+		Loop:        loop.New(),
 		node:        cfg.node,
 		queueLength: cfg.queueLength,
 		policy:      cfg.policy,
@@ -103,13 +104,13 @@
 		clients:     cfg.clients,
 		view:        catalog.NewView(),
 	}
-	d.start(dispatchTick, d.expire, d.startWaiting)
+	d.Start(dispatchTick, d.expire, d.startWaiting)
 	return d
 }
 
 // configure puts a configuration and a set of live nodes in force.
 func (d *dispatcher) configure(view *catalog.View, nodes []fleet.NodeID) {
-	d.do(func() {
+	d.Do(func() {
 		d.view = view
 		d.nodes = nodes
 		for key, pool := range d.pools {
@@ -155,14 +156,14 @@
 		answer: make(chan dispatchAnswer, 1),
 	}
 	id := uint64(0)
-	d.do(func() { id = d.offer(w) })
+	d.Do(func() { id = d.offer(w) })
 	select {
 	case a := <-w.answer:
 		return a.grant, a.refusal
 	case <-ctx.Done():
-	case <-d.ctx.Done():
+	case <-d.Context().Done():
 	}
-	d.do(func() { d.abandon(id, w) })
+	d.Do(func() { d.abandon(id, w) })
 	return grant{}, &admission.Refusal{Reason: admission.ReasonDeadline}
 }
 
@@ -270,19 +271,19 @@
 
 // finish frees a place.
 func (d *dispatcher) finish(g grant, outcome placement.Outcome) {
-	d.do(func() {
+	d.Do(func() {
 		d.pool(g.key).table.Finish(g.server.ID, g.request, outcome, clock.Boot())
 	})
 }
 
 // missed takes note that a server's cache did not hold what was expected.
 func (d *dispatcher) missed(g grant) {
-	d.do(func() { d.pool(g.key).table.Missed(g.server.ID, g.request.Prefixes) })
+	d.Do(func() { d.pool(g.key).table.Missed(g.server.ID, g.request.Prefixes) })
 }
 
 // report takes in a server's load.
 func (d *dispatcher) report(id fleet.BackendServerID, load backend.Load) {
-	d.do(func() {
+	d.Do(func() {
 		for _, pool := range d.pools {
 			pool.table.Report(id, placement.LoadReport{
 				Active:  load.Active,
@@ -295,7 +296,7 @@
 }
 
 func (d *dispatcher) cacheEvents(id fleet.BackendServerID, events []backend.CacheEvent) {
-	d.do(func() {
+	d.Do(func() {
 		for _, pool := range d.pools {
 			for _, e := range events {
 				pool.table.CacheEvent(id, placement.PrefixHash(e.Prefix), e.Kept, clock.Boot())
@@ -306,13 +307,13 @@
 
 // request counts a first attempt of a workspace.
 func (d *dispatcher) request(workspace fleet.WorkspaceID) {
-	d.do(func() { d.retryBudget(workspace).Request() })
+	d.Do(func() { d.retryBudget(workspace).Request() })
 }
 
 // mayRetry reports whether a workspace has a retry left.
 func (d *dispatcher) mayRetry(workspace fleet.WorkspaceID) bool {
 	allowed := false
-	d.ask(func() { allowed = d.retryBudget(workspace).Retry() })
+	d.Ask(func() { allowed = d.retryBudget(workspace).Retry() })
 	return allowed
 }
 
@@ -339,7 +340,7 @@
 
 func (d *dispatcher) poolViews() []PoolView {
 	var views []PoolView
-	d.ask(func() {
+	d.Ask(func() {
 		for key, pool := range d.pools {
 			views = append(views, PoolView{
 				Model:   key.model,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/settings"
 )
@@ -41,7 +42,7 @@
 
 // Link is the way to the control group.
 type Link interface {
-	Ledger
+	quota.Ledger
 	View() *catalog.View
 	Roster() []roster.Report
 	Fresh() bool
@@ -81,10 +82,14 @@
 	}
 }
 
+// quotaPatience is how long a request waits for quota: an election and a recall take
+// less.
+const quotaPatience = 1500 * time.Millisecond
+
 // Server answers callers.
 type Server struct {
 	cfg      Config
-	quota    *quotaKeeper
+	quota    *quota.Keeper
 	billing  *billing.Recorder
 	dispatch *dispatcher
 	clients  *clientSet
@@ -103,15 +108,19 @@
 // New starts a server.
 func New(cfg Config) (*Server, error) {
 	cfg.Policies.fillDefaults()
-	quota := newQuotaKeeper(lease.New(lease.Config{
-		Holder:        cfg.Holder,
-		SharePerMille: cfg.Settings.LeaseSharePerMille,
-		Partition:     time.Duration(cfg.Settings.PartitionMinutes) * time.Minute,
-		Policy:        cfg.Policies.Lease,
-	}), cfg.Link)
-	recorder, err := cfg.NewBilling(quota.refund)
+	keeper := quota.New(quota.Config{
+		Pool: lease.New(lease.Config{
+			Holder:        cfg.Holder,
+			SharePerMille: cfg.Settings.LeaseSharePerMille,
+			Partition:     time.Duration(cfg.Settings.PartitionMinutes) * time.Minute,
+			Policy:        cfg.Policies.Lease,
+		}),
+		Ledger:   cfg.Link,
+		Patience: quotaPatience,
+	})
+	recorder, err := cfg.NewBilling(keeper.Refund)
 	if err != nil {
-		quota.close()
+		keeper.Close()
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -119,7 +128,7 @@
 	s := &Server{
 		cfg:     cfg,
 		clients: clients,
-		quota:   quota,
+		quota:   keeper,
 		billing: recorder,
 		dispatch: newDispatcher(dispatchConfig{
 			node:        cfg.Holder.Node,
@@ -198,7 +207,7 @@
 
 // Recalled implements uplink.Handler.
 func (s *Server) Recalled(recalls []ledger.Recall) {
-	s.quota.recalled(recalls)
+	s.quota.Recalled(recalls)
 }
 
 // Ending implements uplink.Handler.
@@ -246,7 +255,7 @@
 
 // Holdings returns the quota that the node has on lease.
 func (s *Server) Holdings() []lease.Holding {
-	return s.quota.holdings()
+	return s.quota.Holdings()
 }
 
 // Refuse makes the server refuse new requests. It is for the end of a planned
@@ -267,12 +276,12 @@
 	case <-finished:
 	case <-ctx.Done():
 	}
-	err := s.quota.giveAll(ctx)
+	err := s.quota.GiveAll(ctx)
 	s.cancel()
 	s.wait.Wait()
-	s.dispatch.close()
+	s.dispatch.Close()
 	s.billing.Close()
-	s.quota.close()
+	s.quota.Close()
 	return err
 }
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -181,15 +181,15 @@
 
 // reserve sets the request's worst price aside.
 func (x *exchange) reserve(amount fleet.Tokens) *Refusal {
-	short := x.server.quota.reserve(x.ctx, x.access.Budget, amount)
+	short := x.server.quota.Reserve(x.ctx, x.access.Budget, amount)
 	if short == nil {
 		x.reserved = amount
 		return nil
 	}
 	switch {
-	case !short.answered:
+	case !short.Answered:
 		return notRun(http.StatusServiceUnavailable, TypeControlAway, "the budget's ledger cannot be reached and this node's lease does not cover the request").withRetry(2 * time.Second).because(burn.CauseUnreachable)
-	case short.last.LeasedElsewhere > 0 && short.last.Free+short.last.LeasedElsewhere >= amount:
+	case short.Last.LeasedElsewhere > 0 && short.Last.Free+short.Last.LeasedElsewhere >= amount:
 		return notRun(http.StatusTooManyRequests, TypeBudgetElsewhere, "what is left of the budget is held by other nodes for requests under way").withRetry(time.Second).because(burn.CauseRefusedBudget)
 	}
 	return notRun(http.StatusPaymentRequired, TypeBudgetExhausted, "the budget does not cover the request's highest price").withHint("ask for fewer tokens, or have the budget topped up")
@@ -198,7 +198,7 @@
 // release frees the quota set aside, less what was spent.
 func (x *exchange) release(spent fleet.Tokens) {
 	if x.reserved > 0 {
-		x.server.quota.release(x.access.Budget, x.reserved, min(spent, x.reserved))
+		x.server.quota.Release(x.access.Budget, x.reserved, min(spent, x.reserved))
 	}
 	x.reserved = 0
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -331,7 +331,7 @@
 		if err == nil {
 			spent = min(result.Charged, reserved)
 		}
-		r.server.quota.release(r.access.Budget, reserved, spent)
+		r.server.quota.Release(r.access.Budget, reserved, spent)
 	})
 }
 
--- a/entry/quota.go
+++ b/quota/keeper.go
@@ -1,4 +1,6 @@
-package entry
+// Package quota keeps an entry node's quota: it sets tokens aside for requests, asks
+// the ledger for more and answers its recalls.
+package quota
 
 import (
 	"context"
@@ -9,14 +11,15 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/loop"
 )
 
-// Times of the quota keeper.
+// Times of the keeper.
 const (
-	quotaTick = 100 * time.Millisecond
-	// quotaPatience is how long a request waits for quota.
-	quotaPatience = 1500 * time.Millisecond
-	leaseTimeout  = 3 * time.Second
+	tick = 100 * time.Millisecond
+	// leaseTimeout bounds one command to the ledger, longer than an election
+	// takes.
+	leaseTimeout = 3 * time.Second
 )
 
 // Ledger is the way to the control group.
@@ -24,50 +27,61 @@
 	Submit(ctx context.Context, command control.Command) (control.Result, error)
 }
 
-// shortage tells why a reservation failed.
-type shortage struct {
-	// answered says that the ledger was heard.
-	answered bool
-	last     ledger.LeaseResult
+// Shortage tells why a reservation failed.
+type Shortage struct {
+	// Answered says that the ledger was heard while the request waited.
+	Answered bool
+	Last     ledger.LeaseResult
+}
+
+// Config sets up a Keeper.
+type Config struct {
+	Pool   *lease.Pool
+	Ledger Ledger
+	// Patience is how long a request waits for quota.
+	Patience time.Duration
 }
 
-// quotaKeeper owns the node's lease pool. Its state belongs to one goroutine.
-type quotaKeeper struct {
-	*owner
-	ledger  Ledger
-	pool    *lease.Pool
-	waiting map[fleet.BudgetID][]*quotaWaiter
+// Keeper owns the node's lease pool. Its state belongs to one goroutine.
+type Keeper struct {
+	*loop.Loop
+	ledger   Ledger
+	patience time.Duration
+	pool     *lease.Pool
+	waiting  map[fleet.BudgetID][]*waiter
 	// sending is true while a command of lease changes is under way.
 	sending bool
 }
 
-type quotaWaiter struct {
+type waiter struct {
 	amount   fleet.Tokens
 	deadline time.Duration
 	answered bool
-	answer   chan *shortage
+	answer   chan *Shortage
 }
 
-func newQuotaKeeper(pool *lease.Pool, l Ledger) *quotaKeeper {
-	k := &quotaKeeper{
-		owner:   newOwner(),
-		ledger:  l,
-		pool:    pool,
-		waiting: map[fleet.BudgetID][]*quotaWaiter{},
+// New starts a keeper.
+func New(cfg Config) *Keeper {
+	k := &Keeper{
+		Loop:     loop.New(),
+		ledger:   cfg.Ledger,
+		patience: cfg.Patience,
+		pool:     cfg.Pool,
+		waiting:  map[fleet.BudgetID][]*waiter{},
 	}
-	k.start(quotaTick, k.expire, k.send)
+	k.Start(tick, k.expire, k.send)
 	return k
 }
 
-// reserve sets quota aside, asking the ledger for more if need be. It returns nil
+// Reserve sets quota aside, asking the ledger for more if need be. It returns nil
 // when that is done.
-func (k *quotaKeeper) reserve(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) *shortage {
-	w := &quotaWaiter{
+func (k *Keeper) Reserve(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) *Shortage {
+	w := &waiter{
 		amount:   amount,
-		deadline: clock.Boot() + quotaPatience,
-		answer:   make(chan *shortage, 1),
+		deadline: clock.Boot() + k.patience,
+		answer:   make(chan *Shortage, 1),
 	}
-	k.do(func() {
+	k.Do(func() {
 		if len(k.waiting[budget]) == 0 && k.pool.Reserve(budget, amount, clock.Boot()) {
 			w.answer <- nil
 			return
@@ -79,16 +93,16 @@
 	case s := <-w.answer:
 		return s
 	case <-ctx.Done():
-	case <-k.ctx.Done():
-		return &shortage{}
+	case <-k.Context().Done():
+		return &Shortage{}
 	}
-	k.do(func() { k.abandon(budget, w) })
-	return &shortage{}
+	k.Do(func() { k.abandon(budget, w) })
+	return &Shortage{}
 }
 
 // abandon takes out a waiter whose caller has gone, or frees what it was given in
 // the meantime.
-func (k *quotaKeeper) abandon(budget fleet.BudgetID, w *quotaWaiter) {
+func (k *Keeper) abandon(budget fleet.BudgetID, w *waiter) {
 	select {
 	case s := <-w.answer:
 		if s == nil {
@@ -97,7 +111,7 @@
 		return
 	default:
 	}
-	var kept []*quotaWaiter
+	var kept []*waiter
 	for _, other := range k.waiting[budget] {
 		if other != w {
 			kept = append(kept, other)
@@ -107,35 +121,39 @@
 	k.updateNeed(budget)
 }
 
-func (k *quotaKeeper) release(budget fleet.BudgetID, reserved, spent fleet.Tokens) {
-	k.do(func() {
+// Release ends a reservation, of which spent was used.
+func (k *Keeper) Release(budget fleet.BudgetID, reserved, spent fleet.Tokens) {
+	k.Do(func() {
 		k.pool.Release(budget, reserved, spent, clock.Boot())
 		k.serveWaiters(budget)
 	})
 }
 
-func (k *quotaKeeper) refund(budget fleet.BudgetID, amount fleet.Tokens) {
-	k.do(func() {
+// Refund takes back quota that was held as spent but was not billed after all.
+func (k *Keeper) Refund(budget fleet.BudgetID, amount fleet.Tokens) {
+	k.Do(func() {
 		k.pool.Refund(budget, amount, clock.Boot())
 		k.serveWaiters(budget)
 	})
 }
 
-func (k *quotaKeeper) recalled(recalls []ledger.Recall) {
-	k.do(func() {
+// Recalled takes in the ledger's recalls.
+func (k *Keeper) Recalled(recalls []ledger.Recall) {
+	k.Do(func() {
 		for _, recall := range recalls {
 			k.pool.Recall(recall.Budget, clock.Boot())
 		}
 	})
 }
 
-func (k *quotaKeeper) holdings() []lease.Holding {
+// Holdings returns what the pool has.
+func (k *Keeper) Holdings() []lease.Holding {
 	var holdings []lease.Holding
-	k.ask(func() { holdings = k.pool.Holdings() })
+	k.Ask(func() { holdings = k.pool.Holdings() })
 	return holdings
 }
 
-func (k *quotaKeeper) updateNeed(budget fleet.BudgetID) {
+func (k *Keeper) updateNeed(budget fleet.BudgetID) {
 	need := fleet.Tokens(0)
 	if waiting := k.waiting[budget]; len(waiting) > 0 {
 		need = waiting[0].amount
@@ -144,7 +162,7 @@
 }
 
 // serveWaiters gives quota to the waiting requests, in order.
-func (k *quotaKeeper) serveWaiters(budget fleet.BudgetID) {
+func (k *Keeper) serveWaiters(budget fleet.BudgetID) {
 	waiting := k.waiting[budget]
 	for len(waiting) > 0 && k.pool.Reserve(budget, waiting[0].amount, clock.Boot()) {
 		waiting[0].answer <- nil
@@ -153,7 +171,7 @@
 	k.setWaiting(budget, waiting)
 }
 
-func (k *quotaKeeper) setWaiting(budget fleet.BudgetID, waiting []*quotaWaiter) {
+func (k *Keeper) setWaiting(budget fleet.BudgetID, waiting []*waiter) {
 	if len(waiting) == 0 {
 		delete(k.waiting, budget)
 	} else {
@@ -163,18 +181,18 @@
 }
 
 // expire refuses the requests that have waited too long.
-func (k *quotaKeeper) expire() {
+func (k *Keeper) expire() {
 	now := clock.Boot()
 	for budget, waiting := range k.waiting {
-		var kept []*quotaWaiter
+		var kept []*waiter
 		for _, w := range waiting {
 			if now < w.deadline {
 				kept = append(kept, w)
 				continue
 			}
-			w.answer <- &shortage{
-				answered: w.answered,
-				last:     k.pool.Last(budget),
+			w.answer <- &Shortage{
+				Answered: w.answered,
+				Last:     k.pool.Last(budget),
 			}
 		}
 		if len(kept) < len(waiting) {
@@ -184,7 +202,7 @@
 }
 
 // send hands the pool's changes to the ledger, one command at a time.
-func (k *quotaKeeper) send() {
+func (k *Keeper) send() {
 	if k.sending {
 		return
 	}
@@ -193,11 +211,11 @@
 		return
 	}
 	k.sending = true
-	k.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(k.ctx, leaseTimeout)
+	k.Go(func() {
+		ctx, cancel := context.WithTimeout(k.Context(), leaseTimeout)
 		defer cancel()
 		result, err := k.ledger.Submit(ctx, control.Command{Leases: changes})
-		k.do(func() {
+		k.Do(func() {
 			k.sending = false
 			if err == nil {
 				k.answers(changes, result.Leases)
@@ -206,7 +224,7 @@
 	})
 }
 
-func (k *quotaKeeper) answers(changes []ledger.LeaseChange, results []ledger.LeaseResult) {
+func (k *Keeper) answers(changes []ledger.LeaseChange, results []ledger.LeaseResult) {
 	for i, result := range results {
 		budget := changes[i].Budget
 		if !k.pool.Answer(budget, result) {
@@ -219,7 +237,7 @@
 
 // refuseFirst refuses the first waiting request when the ledger has said that it
 // cannot be met and that nobody was asked to give back.
-func (k *quotaKeeper) refuseFirst(budget fleet.BudgetID, change ledger.LeaseChange, result ledger.LeaseResult) {
+func (k *Keeper) refuseFirst(budget fleet.BudgetID, change ledger.LeaseChange, result ledger.LeaseResult) {
 	waiting := k.waiting[budget]
 	for _, w := range waiting {
 		w.answered = true
@@ -227,17 +245,17 @@
 	if len(waiting) == 0 || change.Need == 0 || result.Granted > 0 || result.Recalling {
 		return
 	}
-	waiting[0].answer <- &shortage{
-		answered: true,
-		last:     result,
+	waiting[0].answer <- &Shortage{
+		Answered: true,
+		Last:     result,
 	}
 	k.setWaiting(budget, waiting[1:])
 }
 
-// giveAll returns all free quota, for a planned stop.
-func (k *quotaKeeper) giveAll(ctx context.Context) error {
+// GiveAll returns all free quota, for a planned stop.
+func (k *Keeper) GiveAll(ctx context.Context) error {
 	var changes []ledger.LeaseChange
-	k.ask(func() { changes = k.pool.GiveAll() })
+	k.Ask(func() { changes = k.pool.GiveAll() })
 	if len(changes) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/routing/view.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"hash/maphash"
+	"slices"
+	"strings"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// View answers look-ups in one configuration. It is never changed, so that any
+// number of goroutines may read it.
+type View struct {
+	Config     Config
+	hosts      map[string][]*Route
+	services   map[fleet.ServiceID]*Service
+	workspaces map[string]*Workspace
+}
+
+// NewView indexes a configuration that passed Check.
+func NewView(c Config) *View {
+	v := &View{
+		Config:     c,
+		hosts:      map[string][]*Route{},
+		services:   map[fleet.ServiceID]*Service{},
+		workspaces: map[string]*Workspace{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		v.hosts[r.Host] = append(v.hosts[r.Host], r)
+	}
+	for _, routes := range v.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Services {
+		v.services[c.Services[i].ID] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			v.workspaces[key] = &c.Workspaces[i]
+		}
+	}
+	return v
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (v *View) Match(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (v *View) Service(id fleet.ServiceID) *Service {
+	return v.services[id]
+}
+
+// KeysNeeded reports whether callers of routes that are not public need a key.
+func (v *View) KeysNeeded() bool {
+	return len(v.Config.Workspaces) > 0
+}
+
+// Workspace returns the workspace that holds a key, or nil.
+func (v *View) Workspace(key string) *Workspace {
+	return v.workspaces[key]
+}
+
+// splitSeed differs from process to process, which a random split may.
+var splitSeed = maphash.MakeSeed()
+
+// Choose picks one of the route's services by weight. The same request id always
+// gets the same service from one process.
+func (r *Route) Choose(id RequestID) fleet.ServiceID {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := int(maphash.String(splitSeed, string(id)) % uint64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
