--- a/command/serve.go
+++ b/command/serve.go
@@ -19,7 +19,7 @@
 )
 
 type settingsOption struct {
-	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" description:"Settings file, JSON with comments"`
+	Settings string `long:"settings" short:"s" value-name:"FILE" required:"true" env:"WAXWINGREEL_NODE_FILE" description:"Settings file, JSON with comments"`
 }
 
 type serveCommand struct {
@@ -33,7 +33,8 @@
 	if err != nil {
 		return err
 	}
-	log := event.New(c.env.errs, string(s.Node))
+	log := event.NewBounded(c.env.out, string(s.Node))
+	defer log.Close()
 	n, err := node.Start(node.Config{
 		Settings: s,
 		Log:      log,
@@ -44,8 +45,10 @@
 		return err
 	}
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	<-signals
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	for (<-signals) == syscall.SIGHUP {
+		reload(c.Settings, log, n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -56,6 +59,17 @@
 	return nil
 }
 
+// reload reads the settings again. The node takes from them what can change while it
+// runs; the rest waits for the next start.
+func reload(path string, log *event.Log, n *node.Node) {
+	s, err := settings.Load(path)
+	if err != nil {
+		log.Error(event.NodeReloaded).Err(err).Msg("the new settings are not sound; the old ones stay in force")
+		return
+	}
+	n.Reload(s)
+}
+
 type checkCommand struct {
 	settingsOption
 	env *environment
--- a/control/command.go
+++ b/control/command.go
@@ -7,6 +7,7 @@
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/routing"
 )
 
 // Command is one entry of the replicated log. At is set by the leader; of the
@@ -23,6 +24,16 @@
 	Begin   *ledger.Begin           `json:"begin,omitempty"`
 	Finish  *ledger.Finish          `json:"finish,omitempty"`
 	Confirm *ledger.ConfirmNoneHeld `json:"confirm,omitempty"`
+	// Configure replaces the configuration of routed requests, if its version
+	// is higher than the one in force.
+	Configure *Configuration `json:"configure,omitempty"`
+}
+
+// Configuration is a configuration of routed requests with the operator's text.
+type Configuration struct {
+	Config routing.Config `json:"config"`
+	// Document is the operator's text, which is read back as it was sent.
+	Document []byte `json:"document"`
 }
 
 // Result answers a Command, field by field.
@@ -33,15 +44,20 @@
 	Settled  []ledger.SettleResult `json:"settled,omitempty"`
 	Begun    *ledger.BeginResult   `json:"begun,omitempty"`
 	Finished *ledger.SettleResult  `json:"finished,omitempty"`
+	// Incarnation is the number of the life that joined.
+	Incarnation fleet.Incarnation `json:"incarnation,omitempty"`
+	// Configured is the version in force after a Configure.
+	Configured routing.Version `json:"configured,omitempty"`
 }
 
 // effects is what subscribers must hear of after a command.
 type effects struct {
 	catalog bool
+	routing bool
 	ending  bool
 	recalls []ledger.Recall
 }
 
 func (e *effects) any() bool {
-	return e.catalog || e.ending || len(e.recalls) > 0
+	return e.catalog || e.routing || e.ending || len(e.recalls) > 0
 }
--- a/control/group.go
+++ b/control/group.go
@@ -39,6 +39,12 @@
 	if !r.cfg.Bootstrap {
 		return
 	}
+	if r.selfForming() {
+		if r.mayFound() {
+			r.found()
+		}
+		return
+	}
 	for _, p := range r.cfg.Peers {
 		if p.Node == r.cfg.Node {
 			continue
@@ -48,6 +54,11 @@
 			return
 		}
 	}
+	r.found()
+}
+
+// found begins a group of this replica alone.
+func (r *Replica) found() {
 	first := consensus.Snapshot{
 		Index: 1,
 		Term:  1,
@@ -86,6 +97,10 @@
 // learner, promoted once it has caught up, and only then is its old id removed:
 // in between, what is acknowledged is on more disks than before, never on fewer.
 func (r *Replica) adjustMembers() {
+	if r.selfForming() {
+		r.adjustSelfForming()
+		return
+	}
 	members := r.core.Members()
 	wanted := r.wantedNodes()
 	for _, m := range members.Replicas {
@@ -191,6 +206,9 @@
 		Formed:  r.formed(),
 		Heard:   r.heardReports(now),
 	}
+	if r.selfForming() {
+		announcement.Contacts = r.knownContacts()
+	}
 	told := map[fleet.NodeID]bool{r.cfg.Node: true}
 	for _, a := range r.peers {
 		told[a.Node] = true
@@ -201,6 +219,7 @@
 			r.cfg.Endpoint.Send(p.Address, MethodAnnounce, announcement)
 		}
 	}
+	r.announceToContacts(announcement)
 }
 
 // heardReports returns the nodes that this replica itself heard of lately.
@@ -225,6 +244,8 @@
 	}
 	r.peers[a.Node] = a
 	now := clock.Boot()
+	r.heardAt[a.Node] = now
+	r.learnContacts(a)
 	changed := false
 	for _, report := range a.Heard {
 		changed = r.table.Merge(report, now) || changed
--- a/control/machine.go
+++ b/control/machine.go
@@ -15,8 +15,10 @@
 // machine is the replicated state: the catalog and the ledger, changed only by
 // commands of the log.
 type machine struct {
-	catalog  *catalog.State
-	ledger   *ledger.State
+	catalog *catalog.State
+	ledger  *ledger.State
+	// routing is the configuration of routed requests, version 0 for none.
+	routing  Configuration
 	commands uint64
 }
 
@@ -37,7 +39,7 @@
 		result.Outcome = m.applyTicket(*c.Ticket, c.At, &effect)
 	}
 	if c.Join != nil {
-		result.Joined = m.ledger.Join(c.Join.Holder)
+		m.join(*c.Join, &result)
 		effect.ending = true
 	}
 	for _, change := range c.Leases {
@@ -61,9 +63,39 @@
 	if c.Confirm != nil {
 		m.ledger.Confirm(*c.Confirm)
 	}
+	if c.Configure != nil {
+		m.configure(*c.Configure, &effect)
+		result.Configured = m.routing.Config.Version
+	}
 	return result, effect
 }
 
+func (m *machine) join(join ledger.Join, result *Result) {
+	if join.Life == 0 {
+		result.Joined = m.ledger.Join(join.Holder)
+		result.Incarnation = join.Holder.Incarnation
+		return
+	}
+	result.Joined = true
+	result.Incarnation = m.ledger.JoinLife(join)
+}
+
+// configure puts a configuration in force, unless one of the same or a higher
+// version is. Its workspaces' prepaid totals become metered budgets.
+func (m *machine) configure(c Configuration, effect *effects) {
+	if c.Config.Version <= m.routing.Config.Version {
+		return
+	}
+	m.routing = c
+	effect.routing = true
+	for _, w := range c.Config.Workspaces {
+		if w.Prepaid != nil {
+			recalls := m.ledger.Meter(fleet.BudgetID(w.ID), *w.Prepaid)
+			effect.recalls = append(effect.recalls, recalls...)
+		}
+	}
+}
+
 func (m *machine) applyTicket(ticket catalog.Ticket, now fleet.UnixMillis, effect *effects) *catalog.Outcome {
 	before := m.catalog.Version()
 	outcome := m.catalog.Apply(ticket, now, m.checkBudgets)
@@ -105,6 +137,7 @@
 	Catalog  catalog.Image `json:"catalog"`
 	Ledger   ledger.Image  `json:"ledger"`
 	Commands uint64        `json:"commands"`
+	Routing  Configuration `json:"routing,omitzero"`
 }
 
 func (m *machine) snapshot() ([]byte, error) {
@@ -112,6 +145,7 @@
 		Catalog:  m.catalog.Image(),
 		Ledger:   m.ledger.Image(),
 		Commands: m.commands,
+		Routing:  m.routing,
 	})
 	return data, eris.Wrap(err, "control: encode the state")
 }
@@ -128,6 +162,7 @@
 		catalog:  catalog.FromImage(i.Catalog),
 		ledger:   ledger.FromImage(i.Ledger),
 		commands: i.Commands,
+		routing:  i.Routing,
 	}, nil
 }
 
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -17,6 +18,8 @@
 	MethodConsensus wire.Method = "consensus"
 	// MethodAnnounce carries Announcement between replicas.
 	MethodAnnounce wire.Method = "announce"
+	// MethodInstances carries InstanceList between replicas.
+	MethodInstances wire.Method = "instances"
 	// MethodSubmit asks for a Command; the answer is a SubmitAnswer.
 	MethodSubmit wire.Method = "submit"
 	// MethodQuery asks a Query; the answer is a QueryAnswer.
@@ -34,6 +37,9 @@
 	// Formed says that the replica belongs to a group.
 	Formed bool            `json:"formed"`
 	Heard  []roster.Report `json:"heard,omitempty"`
+	// Contacts are the addresses of control VMs that the replica knows, in a
+	// fleet whose settings do not list them.
+	Contacts []netip.AddrPort `json:"contacts,omitempty"`
 }
 
 // SubmitStatus tells what became of a command.
@@ -68,6 +74,9 @@
 	Ticket  fleet.TicketNumber `json:"ticket,omitempty"`
 	Tickets int                `json:"tickets,omitempty"`
 	Status  bool               `json:"status,omitempty"`
+	// Routing asks for the operator's text of the routed requests'
+	// configuration.
+	Routing bool `json:"routing,omitempty"`
 }
 
 // QueryAnswer answers a Query. Budgets and tickets are answered only by a leader
@@ -81,6 +90,21 @@
 	Outcomes []catalog.Outcome `json:"outcomes,omitempty"`
 	Digest   fleet.Digest      `json:"digest"`
 	Replica  *ReplicaStatus    `json:"replica,omitempty"`
+	// Document and Version answer Routing.
+	Document []byte          `json:"document,omitempty"`
+	Version  routing.Version `json:"version,omitempty"`
+}
+
+// InstanceList is the list of instances as one reader saw it. Numbers rise with
+// each reading of one reader; Reader tells readers apart.
+type InstanceList struct {
+	Reader    fleet.NodeID       `json:"reader"`
+	Number    uint64             `json:"number"`
+	AgeMillis int64              `json:"ageMillis"`
+	Instances []routing.Instance `json:"instances,omitempty"`
+	// Same says that the instances are those of the list that was sent before
+	// on this subscription.
+	Same bool `json:"same,omitempty"`
 }
 
 // ReplicaStatus is one replica as operators see it.
@@ -100,6 +124,9 @@
 // Heartbeat is what an entry node sends its control replica.
 type Heartbeat struct {
 	Report roster.Report `json:"report"`
+	// Routing is the version of the routed requests' configuration in force on
+	// the node.
+	Routing routing.Version `json:"routing,omitempty"`
 	// Full asks for the whole roster and the open recalls again.
 	Full bool `json:"full,omitempty"`
 }
@@ -111,8 +138,11 @@
 	// then sends no configuration, which could be an old one.
 	Stale   bool            `json:"stale,omitempty"`
 	Delta   *catalog.Delta  `json:"delta,omitempty"`
-	Roster  []roster.Report `json:"roster,omitempty"`
-	Recalls []ledger.Recall `json:"recalls,omitempty"`
+	Routing *routing.Config `json:"routing,omitempty"`
+	// Instances is the latest list of instances, from the replica that reads it.
+	Instances *InstanceList   `json:"instances,omitempty"`
+	Roster    []roster.Report `json:"roster,omitempty"`
+	Recalls   []ledger.Recall `json:"recalls,omitempty"`
 	// Ending lists the ended holders that the node has not confirmed.
 	Ending []fleet.Holder `json:"ending,omitempty"`
 	// Ended says that this life of the node has ended for the ledger: a later
--- a/control/replica.go
+++ b/control/replica.go
@@ -58,6 +58,11 @@
 	Node fleet.NodeID
 	// Peers lists the VMs that first form the group, this one included.
 	Peers []Peer
+	// Seeds are addresses of control VMs, for a fleet whose settings do not list
+	// its control VMs. The group then forms itself: see group.go.
+	Seeds []netip.AddrPort
+	// Losses is how many control VMs may be lost at once, where Seeds is set.
+	Losses int
 	// Bootstrap lets this replica start a new group when every peer says that
 	// there is none.
 	Bootstrap bool
@@ -77,12 +82,20 @@
 	applied consensus.Index
 	table   *roster.Table
 
-	peers     map[fleet.NodeID]Announcement
+	peers map[fleet.NodeID]Announcement
+	// heardAt is when each peer was heard last.
+	heardAt map[fleet.NodeID]time.Duration
+	// contacts are the addresses of control VMs that were heard of.
+	contacts  map[netip.AddrPort]bool
 	direct    map[fleet.NodeID]roster.Report
 	directAt  map[fleet.NodeID]time.Duration
 	waiting   map[consensus.Index]waiter
 	wasLeader bool
-	failed    error
+	// ledSince is when this replica began to lead.
+	ledSince time.Duration
+	failed   error
+	// broken is closed when the replica has failed.
+	broken    chan struct{}
 	announced time.Duration
 
 	messages  chan consensus.Message
@@ -92,6 +105,14 @@
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
 
+	// list is the latest instance list, listNumber this replica's own count of
+	// the lists it took in.
+	list       InstanceList
+	listAt     time.Duration
+	listNumber uint64
+	// listChange is the number of the list in which the instances last changed.
+	listChange uint64
+
 	targets        []orders.Target
 	targetsVersion fleet.Version
 
@@ -145,9 +166,12 @@
 		applied:     contents.Snapshot.Index,
 		table:       roster.New(),
 		peers:       map[fleet.NodeID]Announcement{},
+		heardAt:     map[fleet.NodeID]time.Duration{},
+		contacts:    loadContacts(cfg),
 		direct:      map[fleet.NodeID]roster.Report{},
 		directAt:    map[fleet.NodeID]time.Duration{},
 		waiting:     map[consensus.Index]waiter{},
+		broken:      make(chan struct{}),
 		messages:    make(chan consensus.Message, 4096),
 		proposals:   make(chan proposal, 4096),
 		work:        make(chan func(), 256),
@@ -322,10 +346,19 @@
 	return nil
 }
 
+// Failed is closed when the replica has stopped because its disk failed.
+func (r *Replica) Failed() <-chan struct{} {
+	return r.broken
+}
+
 // fail stops the replica: after a failed write or sync it is unknown what the disk
 // holds, so nothing more may be acknowledged.
 func (r *Replica) fail(err error) {
+	if r.failed != nil {
+		return
+	}
 	r.failed = err
+	close(r.broken)
 	r.cfg.Log.Error(event.ReplicaFailed).Err(err).Msg("control replica stopped: its disk failed")
 	r.releaseWaiting(SubmitUnknown, "the replica's disk failed")
 }
@@ -368,6 +401,7 @@
 		return
 	}
 	r.wasLeader = leads
+	r.ledSince = clock.Boot()
 	if leads {
 		r.cfg.Log.Info(event.LeaderElected).Uint64("term", uint64(r.core.Term())).Msg("control replica leads")
 	} else {
@@ -402,7 +436,11 @@
 // open reports whether the group has formed. Before that a single VM's loss could
 // lose what was acknowledged.
 func (r *Replica) open() bool {
-	return r.machine.commands > 0 || r.core.Members().Voters() >= len(r.cfg.Peers)
+	wanted := len(r.cfg.Peers)
+	if r.selfForming() {
+		wanted = r.smallestGroup()
+	}
+	return r.machine.commands > 0 || r.core.Members().Voters() >= wanted
 }
 
 func (r *Replica) leaderAddress() netip.AddrPort {
--- a/control/serve.go
+++ b/control/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
@@ -10,6 +11,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/orders"
+	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -37,6 +39,12 @@
 			r.do(func() { r.hearAnnouncement(a) })
 		}
 	})
+	endpoint.HandleMessage(MethodInstances, func(_ fleet.NodeID, body []byte) {
+		list := InstanceList{}
+		if wire.Decode(body, &list) == nil {
+			r.do(func() { r.takeInstances(list) })
+		}
+	})
 	endpoint.HandleCall(MethodSubmit, func(ctx context.Context, _ fleet.NodeID, body []byte) (any, error) {
 		command := Command{}
 		if err := wire.Decode(body, &command); err != nil {
@@ -90,6 +98,10 @@
 		answer.Outcomes = []catalog.Outcome{outcome}
 		answer.Digest = digest
 		answer.Found = ok
+	case query.Routing:
+		answer.Document = r.machine.routing.Document
+		answer.Version = r.machine.routing.Config.Version
+		answer.Found = answer.Version > 0
 	case query.Tickets > 0:
 		answer.Outcomes = r.machine.catalog.Outcomes(query.Tickets)
 	}
@@ -121,6 +133,9 @@
 	holder  fleet.Holder
 	notify  chan struct{}
 	version fleet.Version
+	routing routing.Version
+	// list is the number of the last instance list that was sent.
+	list    uint64
 	roster  uint64
 	recalls chan []ledger.Recall
 	full    bool
@@ -136,6 +151,7 @@
 		holder:  first.Report.Holder,
 		notify:  make(chan struct{}, 1),
 		version: first.Report.Version,
+		routing: first.Routing,
 		recalls: make(chan []ledger.Recall, 64),
 		full:    true,
 	}
@@ -194,6 +210,9 @@
 		if update.Delta != nil {
 			s.version = update.Delta.To
 		}
+		if update.Routing != nil {
+			s.routing = update.Routing.Version
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -218,6 +237,10 @@
 		delta := r.machine.catalog.Since(s.version)
 		update.Delta = &delta
 	}
+	if c := r.machine.routing.Config; !update.Stale && c.Version > s.routing {
+		update.Routing = &c
+	}
+	update.Instances, s.list = r.instancesSince(s.list, now)
 	update.Roster, s.roster = r.table.Since(s.roster)
 	update.Recalls = s.takeRecalls()
 	if s.full {
@@ -227,6 +250,48 @@
 	return update
 }
 
+// instancesSince returns the instance list that this replica read or was told last,
+// if it is newer than the one with the given number.
+func (r *Replica) instancesSince(number uint64, now time.Duration) (*InstanceList, uint64) {
+	if r.listNumber == number || r.listNumber == 0 {
+		return nil, number
+	}
+	list := r.list
+	list.AgeMillis = (now - r.listAt).Milliseconds()
+	if number >= r.listChange {
+		list.Same = true
+		list.Instances = nil
+	}
+	return &list, r.listNumber
+}
+
+// SetInstances hands a new reading of the instance list to the replica, which passes
+// it on to the other replicas and to its subscribers.
+func (r *Replica) SetInstances(instances []routing.Instance) {
+	r.do(func() {
+		list := InstanceList{
+			Reader:    r.cfg.Node,
+			Number:    r.listNumber + 1,
+			Instances: instances,
+		}
+		r.takeInstances(list)
+		for _, a := range r.peers {
+			r.cfg.Endpoint.Send(a.Address, MethodInstances, list)
+		}
+	})
+}
+
+// takeInstances takes in a reading of this replica or of another.
+func (r *Replica) takeInstances(list InstanceList) {
+	r.listNumber++
+	if r.listNumber == 1 || !slices.Equal(r.list.Instances, list.Instances) {
+		r.listChange = r.listNumber
+	}
+	r.list = list
+	r.listAt = clock.Boot()
+	r.notify(effects{routing: true})
+}
+
 // ended reports whether a life of a node has ended.
 func (r *Replica) ended(holder fleet.Holder) bool {
 	object, ok := r.machine.catalog.Object(catalog.Key{
@@ -260,7 +325,7 @@
 				mine = append(mine, recall)
 			}
 		}
-		if len(mine) == 0 && !e.catalog && !e.ending {
+		if len(mine) == 0 && !e.catalog && !e.routing && !e.ending {
 			continue
 		}
 		if len(mine) > 0 {
--- a/control/submit.go
+++ b/control/submit.go
@@ -28,6 +28,7 @@
 		}
 		result, effect := r.machine.apply(command)
 		all.catalog = all.catalog || effect.catalog
+		all.routing = all.routing || effect.routing
 		all.ending = all.ending || effect.ending
 		all.recalls = append(all.recalls, effect.recalls...)
 		r.answer(entry, result)
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/loop"
+	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/retry"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// dispatchTick is only a safety net: all work of the dispatcher comes by Do.
+const dispatchTick = time.Second
+
+// retryMargin is the part of the shared retry budget that is used. The rest covers
+// nodes that count their number differently for a moment.
+const retryMargin = 0.8
+
+// dispatcher owns the forecasts and the retry budgets. Their state belongs to one
+// goroutine.
+type dispatcher struct {
+	*loop.Loop
+	cfg       dispatchConfig
+	forecasts map[fleet.ServiceID]*placement.Forecast
+	retries   map[fleet.ServiceID]*retry.Budget
+	instances map[fleet.BackendServerID]routing.Instance
+	listedAt  time.Duration
+}
+
+type dispatchConfig struct {
+	dataCentre fleet.DataCentre
+	seed       uint64
+	// ratio and slack are the retry budget that all nodes share, nodes how many
+	// share it.
+	ratio float64
+	slack float64
+	nodes func() int
+	conns *backend.Conns
+	log   *event.Log
+}
+
+func newDispatcher(cfg dispatchConfig) *dispatcher {
+	d := &dispatcher{
+		Loop:      loop.New(),
+		cfg:       cfg,
+		forecasts: map[fleet.ServiceID]*placement.Forecast{},
+		retries:   map[fleet.ServiceID]*retry.Budget{},
+		instances: map[fleet.BackendServerID]routing.Instance{},
+	}
+	d.Start(dispatchTick, func() {}, func() {})
+	return d
+}
+
+// setInstances puts a reading of the instance list in force.
+func (d *dispatcher) setInstances(list control.InstanceList) {
+	d.Do(func() {
+		d.listedAt = clock.Boot() - time.Duration(list.AgeMillis)*time.Millisecond
+		byService := map[fleet.ServiceID][]routing.Instance{}
+		current := map[backend.Instance]bool{}
+		next := map[fleet.BackendServerID]routing.Instance{}
+		for _, i := range list.Instances {
+			byService[i.Service] = append(byService[i.Service], i)
+			next[i.ID] = i
+			current[target(i)] = true
+		}
+		d.logChanges(next, list)
+		d.instances = next
+		for service := range d.forecasts {
+			if _, listed := byService[service]; !listed {
+				byService[service] = nil
+			}
+		}
+		for service, instances := range byService {
+			d.forecast(service).SetInstances(instances)
+		}
+		d.cfg.conns.Keep(current)
+	})
+}
+
+func target(i routing.Instance) backend.Instance {
+	return backend.Instance{
+		ID:      i.ID,
+		Address: i.Address,
+	}
+}
+
+// logChanges writes a line for each instance that came, began to leave or went.
+func (d *dispatcher) logChanges(next map[fleet.BackendServerID]routing.Instance, list control.InstanceList) {
+	for id, i := range next {
+		if before, ok := d.instances[id]; ok && before == i {
+			continue
+		}
+		d.cfg.log.Info(event.InstanceListed).
+			Str("instance", string(id)).
+			Str("service", string(i.Service)).
+			Str("address", i.Address.String()).
+			Str("dataCentre", string(i.DataCentre)).
+			Bool("leaving", i.Leaving).
+			Str("reader", string(list.Reader)).
+			Int64("ageMillis", list.AgeMillis).
+			Msg("instance is listed")
+	}
+	for id, i := range d.instances {
+		if _, ok := next[id]; !ok {
+			d.cfg.log.Info(event.InstanceGone).
+				Str("instance", string(id)).
+				Str("service", string(i.Service)).
+				Str("reader", string(list.Reader)).
+				Int64("ageMillis", list.AgeMillis).
+				Msg("instance is no longer listed")
+		}
+	}
+}
+
+func (d *dispatcher) forecast(service fleet.ServiceID) *placement.Forecast {
+	f, ok := d.forecasts[service]
+	if !ok {
+		f = placement.NewForecast(placement.ForecastConfig{
+			DataCentre: d.cfg.dataCentre,
+			Seed:       d.cfg.seed,
+		})
+		d.forecasts[service] = f
+	}
+	return f
+}
+
+// budget returns this node's part of a service's retry budget.
+func (d *dispatcher) budget(service fleet.ServiceID) *retry.Budget {
+	b, ok := d.retries[service]
+	if !ok {
+		b = retry.New(retry.Config{
+			Ratio: d.cfg.ratio * retryMargin,
+			Burst: d.cfg.slack * retryMargin / float64(max(d.cfg.nodes(), 1)),
+		})
+		d.retries[service] = b
+	}
+	return b
+}
+
+// pick chooses an instance. The first choice for a request counts it towards the
+// retry budget. It also returns the age of the list of instances.
+func (d *dispatcher) pick(service fleet.ServiceID, r placement.ForecastRequest, first bool) (placed placement.Placed, listAge time.Duration, ok bool) {
+	d.Ask(func() {
+		now := clock.Boot()
+		if first {
+			d.budget(service).Request()
+		}
+		placed, ok = d.forecast(service).Pick(r, now)
+		listAge = now - d.listedAt
+	})
+	return placed, listAge, ok
+}
+
+// mayRetry takes one retry from the budget.
+func (d *dispatcher) mayRetry(service fleet.ServiceID) bool {
+	may := false
+	d.Ask(func() { may = d.budget(service).Retry() })
+	return may
+}
+
+// began takes in the first byte of an answer and the load that came with it.
+func (d *dispatcher) began(service fleet.ServiceID, p *placement.Placed, load *Load) {
+	d.Do(func() {
+		now := clock.Boot()
+		f := d.forecast(service)
+		f.Began(p, now)
+		if load != nil {
+			f.Report(p.Instance.ID, load.Running, load.Waiting, now)
+		}
+	})
+}
+
+// done ends an attempt.
+func (d *dispatcher) done(service fleet.ServiceID, p *placement.Placed, outcome placement.Outcome) {
+	if outcome == placement.OutcomeFailed || outcome == placement.OutcomeLeaving {
+		d.cfg.conns.Retire(target(p.Instance))
+	}
+	d.Do(func() { d.forecast(service).Done(p, outcome, clock.Boot()) })
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,464 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is held until it is whole.
+	maxAnswerBytes = 4 << 20
+	// maxConnects bounds the instances that a request tries in vain to connect
+	// to. Nothing was sent there, so these are no attempts.
+	maxConnects = 3
+	// minLeft is the time below which another attempt is not worth starting.
+	minLeft = 30 * time.Millisecond
+)
+
+// errDeadline is the cause of a context that ended at the request's deadline,
+// errSlowAttempt of one that ended so that another instance may be tried.
+var (
+	errDeadline    = errors.New("the request's deadline passed")
+	errSlowAttempt = errors.New("the attempt took too long")
+)
+
+// exchange is one routed request from its arrival to its end.
+type exchange struct {
+	s        *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context
+	view     *routing.View
+	request  routing.Request
+	route    *routing.Route
+	service  *routing.Service
+	owner    *routing.Workspace
+	body     []byte
+	arrived  time.Duration
+	deadline time.Duration
+	reserved fleet.Tokens
+	// mayHaveRun is set once an instance may have begun the work, prompted once
+	// its prompt was certainly or possibly read.
+	mayHaveRun bool
+	attempts   int
+	connects   int
+	avoid      []fleet.BackendServerID
+	// answering is set once the answer's header has left; events and lastEvent
+	// count what was delivered of a stream.
+	answering bool
+	events    int
+	lastEvent string
+	// failure is the latest instance's own failure, which is passed on if no
+	// other attempt does better.
+	failure *whole
+	// lastInstance and cause are for the log.
+	lastInstance fleet.BackendServerID
+	status       int
+	cause        Cause
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// verdict tells what to do after an attempt.
+type verdict int
+
+const (
+	verdictAnswered verdict = iota
+	// verdictNotSent means that nothing left for the instance.
+	verdictNotSent
+	// verdictNotRun means that the instance refused the work.
+	verdictNotRun
+	// verdictUnknown means that the work may have run.
+	verdictUnknown
+	// verdictFailed means that the instance ran the work and failed it.
+	verdictFailed
+	// verdictGone means that the caller has left.
+	verdictGone
+	// verdictTimeout means that the deadline has passed.
+	verdictTimeout
+)
+
+// serve answers the request.
+func (x *exchange) serve() {
+	if !x.open() || !x.readBody() {
+		return
+	}
+	left := x.deadline - clock.Boot()
+	ctx, cancel := context.WithTimeoutCause(x.r.Context(), left, errDeadline)
+	defer cancel()
+	x.ctx = ctx
+	if !x.reserve() {
+		return
+	}
+	defer x.release()
+	x.run()
+}
+
+// open finds the request's route and workspace, or answers that there is none.
+func (x *exchange) open() bool {
+	if x.view == nil {
+		x.refuse(CauseNoConfiguration)
+		return false
+	}
+	request, err := x.s.cfg.Protocol.ReadRequest(x.r)
+	if err != nil {
+		x.reject(http.StatusBadRequest, CauseMalformed)
+		return false
+	}
+	x.request = request
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	x.route = x.view.Match(x.r.Host, path)
+	if x.route == nil {
+		x.reject(http.StatusNotFound, CauseNoRoute)
+		return false
+	}
+	if request.Key != "" {
+		x.owner = x.view.Workspace(request.Key)
+	}
+	if x.owner == nil && x.view.KeysNeeded() && !x.route.Public {
+		x.reject(http.StatusUnauthorized, CauseUnknownKey)
+		return false
+	}
+	x.service = x.view.Service(x.route.Choose(request.ID))
+	wait := x.route.Timeout
+	if request.Wait > 0 {
+		wait = min(wait, request.Wait)
+	}
+	x.deadline = x.arrived + wait
+	return true
+}
+
+// readBody reads the body whole: an attempt that fails must be able to send it again.
+func (x *exchange) readBody() bool {
+	if x.r.Body == nil || x.r.ContentLength == 0 {
+		return true
+	}
+	limit := x.view.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		x.reject(http.StatusRequestEntityTooLarge, CauseBodyTooLarge)
+		return false
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(time.Now().Add(x.deadline - clock.Boot()))
+	size := max(x.r.ContentLength, 512)
+	buffer := make([]byte, 0, size)
+	body, err := readAll(io.LimitReader(x.r.Body, limit+1), buffer)
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		x.cause = CauseBodyBroken
+		x.status = http.StatusBadRequest
+		x.logEnd(err)
+		panic(http.ErrAbortHandler)
+	case int64(len(body)) > limit:
+		x.reject(http.StatusRequestEntityTooLarge, CauseBodyTooLarge)
+		return false
+	}
+	x.body = body
+	return true
+}
+
+// readAll is io.ReadAll into a buffer of the expected size.
+func readAll(r io.Reader, buffer []byte) ([]byte, error) {
+	for {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		n, err := r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err == io.EOF {
+			return buffer, nil
+		}
+		if err != nil {
+			return buffer, err
+		}
+	}
+}
+
+// metered reports whether the request consumes a prepaid total.
+func (x *exchange) metered() bool {
+	return x.owner != nil && x.owner.Prepaid != nil && x.request.MaxCost() > 0
+}
+
+// reserve sets aside what the request may cost at most, or refuses it.
+func (x *exchange) reserve() bool {
+	if !x.metered() {
+		return true
+	}
+	keeper := x.s.keeper.Load()
+	if keeper == nil {
+		x.refuse(CauseNoQuota)
+		return false
+	}
+	cost := x.request.MaxCost()
+	short := keeper.Reserve(x.ctx, fleet.BudgetID(x.owner.ID), cost)
+	switch {
+	case short == nil:
+		x.reserved = cost
+		return true
+	case x.r.Context().Err() != nil:
+		x.logGone()
+		return false
+	case short.Answered && !short.Last.Recalling && !short.Last.Unknown:
+		x.reject(http.StatusPaymentRequired, CauseBudgetSpent)
+		return false
+	}
+	x.refuse(CauseNoQuota)
+	return false
+}
+
+// release frees what was set aside, less what was consumed: the prompt, once the work
+// may have begun, and the output that was delivered.
+func (x *exchange) release() {
+	if x.reserved == 0 {
+		return
+	}
+	spent := fleet.Tokens(0)
+	if x.mayHaveRun {
+		spent = x.request.Prompt + min(x.request.MaxOutput, fleet.Tokens(x.events)*x.eventTokens())
+	}
+	x.s.keeper.Load().Release(fleet.BudgetID(x.owner.ID), x.reserved, min(spent, x.reserved))
+}
+
+func (x *exchange) eventTokens() fleet.Tokens {
+	if x.service.Engine == nil || x.service.Engine.EventTokens == 0 {
+		return x.request.MaxOutput
+	}
+	return x.service.Engine.EventTokens
+}
+
+// run makes attempts until one answers the caller or no other may be made.
+func (x *exchange) run() {
+	for {
+		placed, listAge, ok := x.s.dispatch.pick(x.service.ID, placement.ForecastRequest{
+			ID:     x.request.ID,
+			Parts:  x.request.Parts,
+			Prompt: x.request.Prompt,
+			Avoid:  x.avoid,
+		}, x.attempts+x.connects == 0)
+		if !ok {
+			x.giveUp(CauseNoInstance)
+			return
+		}
+		x.logPlaced(placed, listAge)
+		outcome, err := x.attempt(&placed)
+		if outcome == verdictAnswered || outcome == verdictGone {
+			return
+		}
+		x.logAttempt(placed, outcome, err)
+		if outcome == verdictTimeout {
+			x.giveUp(CauseDeadline)
+			return
+		}
+		x.avoid = append(x.avoid, placed.Instance.ID)
+		if !x.mayTryAgain(outcome) {
+			x.giveUp(causeOf(outcome))
+			return
+		}
+	}
+}
+
+// mayTryAgain decides whether another attempt may follow. Work that may have run is
+// done again only where the route says that it may.
+func (x *exchange) mayTryAgain(outcome verdict) bool {
+	if x.deadline-clock.Boot() < minLeft {
+		return false
+	}
+	if outcome == verdictNotSent {
+		return x.connects < maxConnects
+	}
+	if outcome != verdictNotRun && !x.route.Repeatable() {
+		return false
+	}
+	return x.attempts < x.route.MaxAttempts && x.s.dispatch.mayRetry(x.service.ID)
+}
+
+// giveUp ends a request that no attempt answered.
+func (x *exchange) giveUp(cause Cause) {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.logGone()
+	case x.answering:
+		x.cutOff(cause)
+	case x.failure != nil:
+		x.deliver(*x.failure, cause)
+	case !x.mayHaveRun && cause != CauseDeadline:
+		x.refuse(cause)
+	case cause == CauseDeadline:
+		x.reject(http.StatusGatewayTimeout, cause)
+	default:
+		x.reject(http.StatusBadGateway, cause)
+	}
+}
+
+// patience returns how long an attempt may take until its first byte. Where another
+// attempt may follow, half of what is left is kept for it.
+func (x *exchange) patience() time.Duration {
+	left := x.deadline - clock.Boot()
+	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts {
+		return left / 2
+	}
+	return left
+}
+
+// attempt sends the request to one instance and passes its answer on.
+func (x *exchange) attempt(placed *placement.Placed) (verdict, error) {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	slow := time.AfterFunc(x.patience(), func() { cancel(errSlowAttempt) })
+	defer slow.Stop()
+	x.lastInstance = placed.Instance.ID
+	in, err := x.s.conns.Do(ctx, x.outgoing(placed.Instance))
+	if err != nil {
+		send := (*backend.SendError)(nil)
+		sent := !errors.As(err, &send) || send.Sent
+		if sent {
+			x.attempts++
+		} else {
+			x.connects++
+		}
+		return x.broken(ctx, placed, sent, err)
+	}
+	x.attempts++
+	answer := x.s.cfg.Protocol.ReadAnswer(in.Status, in.Header)
+	if answer.NotRun || answer.OtherInstance {
+		in.Finish(false)
+		return x.notRun(placed, answer)
+	}
+	x.mayHaveRun = true
+	if !answer.Signed {
+		in.Finish(false)
+		x.done(placed, placement.OutcomeFailed)
+		return verdictUnknown, eris.Errorf("status %d without the instance's signature", in.Status)
+	}
+	if x.route.Kind == routing.KindStream && in.Status/100 == 2 {
+		return x.relay(ctx, slow, placed, in, answer)
+	}
+	return x.passOn(ctx, placed, in, answer)
+}
+
+func (x *exchange) outgoing(instance routing.Instance) backend.Outgoing {
+	forward := Forward{
+		Instance:  instance.ID,
+		Left:      x.deadline - clock.Boot(),
+		Priority:  -1,
+		After:     x.request.After,
+		BodyBytes: len(x.body),
+	}
+	if x.r.ContentLength == 0 && len(x.body) == 0 && (x.r.Method == http.MethodGet || x.r.Method == http.MethodHead) {
+		forward.BodyBytes = -1
+	}
+	if x.lastEvent != "" {
+		forward.After = x.lastEvent
+	}
+	if x.owner != nil {
+		forward.Workspace = x.owner.ID
+	}
+	if x.service.Engine != nil {
+		forward.Priority = x.priority()
+	}
+	id := x.request.ID
+	return backend.Outgoing{
+		Instance: target(instance),
+		Method:   x.r.Method,
+		Target:   x.r.RequestURI,
+		Host:     x.r.Host,
+		Header:   x.s.cfg.Protocol.Forward(x.r.Header, forward),
+		Body:     x.body,
+		Once:     !x.route.Repeatable(),
+		Matches: func(status int, header http.Header) bool {
+			return x.s.cfg.Protocol.Matches(id, status, header)
+		},
+	}
+}
+
+// priority ranks the request: a workspace's rank goes before its route's.
+func (x *exchange) priority() int {
+	if x.owner != nil && x.owner.Priority != nil {
+		return min(max(*x.owner.Priority, 0), maxPriority)
+	}
+	return min(max(x.route.Priority, 0), maxPriority)
+}
+
+// maxPriority is the last rank.
+const maxPriority = 9
+
+func (x *exchange) done(placed *placement.Placed, outcome placement.Outcome) {
+	x.s.dispatch.done(x.service.ID, placed, outcome)
+}
+
+// broken judges an attempt that has no whole answer. Sent says that a byte of the
+// request may have left.
+func (x *exchange) broken(ctx context.Context, placed *placement.Placed, sent bool, err error) (verdict, error) {
+	x.mayHaveRun = x.mayHaveRun || sent
+	switch {
+	case x.r.Context().Err() != nil:
+		x.done(placed, placement.OutcomeNeutral)
+		x.logGone()
+		return verdictGone, err
+	case errors.Is(context.Cause(ctx), errDeadline):
+		x.done(placed, placement.OutcomeFailed)
+		return verdictTimeout, err
+	}
+	x.done(placed, placement.OutcomeFailed)
+	if !sent {
+		return verdictNotSent, err
+	}
+	return verdictUnknown, err
+}
+
+func (x *exchange) notRun(placed *placement.Placed, answer Answer) (verdict, error) {
+	if answer.OtherInstance {
+		x.done(placed, placement.OutcomeLeaving)
+		return verdictNotRun, eris.New("another instance has the address")
+	}
+	x.s.dispatch.began(x.service.ID, placed, answer.Load)
+	x.done(placed, placement.OutcomeBusy)
+	return verdictNotRun, eris.New("the instance refused the work")
+}
+
+// passOn reads an answer whole and delivers it. A truncated answer is never begun.
+func (x *exchange) passOn(ctx context.Context, placed *placement.Placed, in *backend.Incoming, answer Answer) (verdict, error) {
+	x.s.dispatch.began(x.service.ID, placed, answer.Load)
+	body, err := readAll(io.LimitReader(in.Body, maxAnswerBytes+1), make([]byte, 0, max(in.Length+1, 512)))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = eris.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
+	}
+	in.Finish(err == nil)
+	if err != nil {
+		return x.broken(ctx, placed, true, eris.Wrap(err, "read the answer"))
+	}
+	got := whole{
+		status: in.Status,
+		header: in.Header,
+		body:   body,
+	}
+	if in.Status >= http.StatusInternalServerError {
+		x.done(placed, placement.OutcomeSlow)
+		x.failure = &got
+		return verdictFailed, eris.Errorf("the instance answered %d", in.Status)
+	}
+	x.done(placed, placement.OutcomeOK)
+	x.deliver(got, CauseNone)
+	return verdictAnswered, nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/lease"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/quota"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+const (
+	// defaultBodyBytes bounds a body where the configuration sets no limit.
+	defaultBodyBytes = 4 << 20
+	// quotaPatience is how long a request waits for quota: a recall takes two
+	// round trips and two syncs.
+	quotaPatience = 350 * time.Millisecond
+	// leasedPerMille is the part of each prepaid remainder that all nodes hold
+	// together. It bridges a network partition from the control group; the rest
+	// goes where the need is.
+	leasedPerMille = 600
+	// confirmTimeout bounds one confirmation to the ledger.
+	confirmTimeout = 3 * time.Second
+)
+
+// Link is the way to the control group.
+type Link interface {
+	Submit(ctx context.Context, command control.Command) (control.Result, error)
+	Holder() fleet.Holder
+	Fresh() bool
+	Roster() []roster.Report
+}
+
+// Config sets up a Server.
+type Config struct {
+	Node       fleet.NodeID
+	DataCentre fleet.DataCentre
+	Link       Link
+	Protocol   Protocol
+	// RetryRatio and RetrySlack bound the arrivals beyond the first of each
+	// request, for all nodes together in any window.
+	RetryRatio float64
+	RetrySlack float64
+	Log        *event.Log
+}
+
+// Server answers routed requests.
+type Server struct {
+	cfg      Config
+	conns    *backend.Conns
+	dispatch *dispatcher
+	keeper   atomic.Pointer[quota.Keeper]
+	view     atomic.Pointer[routing.View]
+	metrics  *Metrics
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	listMu sync.Mutex
+	listAt time.Duration
+	// pushed is the latest whole list from the control group.
+	pushed    []routing.Instance
+	confirmed sync.Map
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+}
+
+// New starts a server. It refuses requests until it has a configuration.
+func New(cfg Config) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		cfg:     cfg,
+		conns:   backend.NewConns(),
+		metrics: NewMetrics(),
+		ctx:     ctx,
+		cancel:  cancel,
+		listAt:  -time.Hour,
+	}
+	s.dispatch = newDispatcher(dispatchConfig{
+		dataCentre: cfg.DataCentre,
+		seed:       rand.Uint64(),
+		ratio:      cfg.RetryRatio,
+		slack:      cfg.RetrySlack,
+		nodes:      s.nodes,
+		conns:      s.conns,
+		log:        cfg.Log,
+	})
+	return s
+}
+
+// nodes is how many nodes answer callers, this one included.
+func (s *Server) nodes() int {
+	n := 0
+	for _, report := range s.cfg.Link.Roster() {
+		if report.Callers.IsValid() && report.State != roster.StateDead {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// Joined starts the keeping of quota, once this life of the node is registered.
+func (s *Server) Joined() {
+	keeper := quota.New(quota.Config{
+		Pool: lease.New(lease.Config{
+			Holder: s.cfg.Link.Holder(),
+			Policy: lease.PolicyMetered,
+		}),
+		Ledger:   s.cfg.Link,
+		Patience: quotaPatience,
+		Fresh:    s.cfg.Link.Fresh,
+	})
+	s.keeper.Store(keeper)
+	s.hold()
+}
+
+// hold tells the quota keeper which budgets there are and which part to keep.
+func (s *Server) hold() {
+	keeper, view := s.keeper.Load(), s.view.Load()
+	if keeper == nil || view == nil {
+		return
+	}
+	var budgets []fleet.BudgetID
+	for _, w := range view.Config.Workspaces {
+		if w.Prepaid != nil {
+			budgets = append(budgets, fleet.BudgetID(w.ID))
+		}
+	}
+	keeper.Hold(int64(leasedPerMille/s.nodes()), budgets)
+}
+
+// Configured implements uplink.Watcher.
+func (s *Server) Configured(view *routing.View) {
+	s.view.Store(view)
+	s.hold()
+}
+
+// Listed implements uplink.Watcher.
+func (s *Server) Listed(list control.InstanceList) {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	if list.Same {
+		list.Instances = s.pushed
+	}
+	s.pushed = list.Instances
+	s.takeList(list)
+}
+
+// Read takes in a list that this node has read itself.
+func (s *Server) Read(instances []routing.Instance) {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	s.takeList(control.InstanceList{
+		Reader:    s.cfg.Node,
+		Instances: instances,
+	})
+}
+
+func (s *Server) takeList(list control.InstanceList) {
+	at := clock.Boot() - time.Duration(list.AgeMillis)*time.Millisecond
+	if at < s.listAt {
+		return
+	}
+	s.listAt = at
+	s.dispatch.setInstances(list)
+}
+
+// ListAge returns the age of the list of instances.
+func (s *Server) ListAge() time.Duration {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	return clock.Boot() - s.listAt
+}
+
+// Recalled implements uplink.Handler.
+func (s *Server) Recalled(recalls []ledger.Recall) {
+	if keeper := s.keeper.Load(); keeper != nil {
+		keeper.Recalled(recalls)
+	}
+}
+
+// Ending implements uplink.Handler. The node keeps no bills of others, so it confirms
+// at once.
+func (s *Server) Ending(holders []fleet.Holder) {
+	for _, ended := range holders {
+		if _, under := s.confirmed.LoadOrStore(ended, true); under {
+			continue
+		}
+		s.wait.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+			defer cancel()
+			_, err := s.cfg.Link.Submit(ctx, control.Command{Confirm: &ledger.ConfirmNoneHeld{
+				By:    s.cfg.Link.Holder(),
+				Ended: ended,
+			}})
+			if err != nil {
+				s.confirmed.Delete(ended)
+			}
+		})
+	}
+}
+
+// Ready reports whether the node can answer callers.
+func (s *Server) Ready() bool {
+	return s.view.Load() != nil && s.keeper.Load() != nil && !s.stopping.Load()
+}
+
+// InFlight returns how many requests the node works on.
+func (s *Server) InFlight() int64 {
+	return s.inFlight.Load()
+}
+
+// Stopping makes the node unready and has it tell callers to go elsewhere.
+func (s *Server) Stopping() {
+	s.stopping.Store(true)
+}
+
+// Metrics returns the counters and histograms.
+func (s *Server) Metrics() *Metrics {
+	return s.metrics
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	x := &exchange{
+		s:       s,
+		w:       w,
+		r:       r,
+		view:    s.view.Load(),
+		arrived: clock.Boot(),
+	}
+	x.deadline = x.arrived
+	x.serve()
+}
+
+func (s *Server) firstByte(x *exchange) {
+	s.metrics.FirstByte(string(x.route.Name), clock.Boot()-x.arrived)
+}
+
+// Entries returns the addresses that callers may use, of the nodes that are up as far
+// as this node knows.
+//
+// A node that has lost the control group keeps the last list it heard: the others it
+// names are as likely to be alive as before, and callers try another where one fails.
+func (s *Server) Entries() []netip.AddrPort {
+	var entries []netip.AddrPort
+	for _, report := range s.cfg.Link.Roster() {
+		if report.State == roster.StateUp && report.Callers.IsValid() {
+			entries = append(entries, report.Callers)
+		}
+	}
+	return entries
+}
+
+// Close gives the leases back and ends the server. Requests must have ended.
+func (s *Server) Close(ctx context.Context) error {
+	var err error
+	if keeper := s.keeper.Load(); keeper != nil {
+		err = keeper.GiveAll(ctx)
+		keeper.Close()
+	}
+	s.cancel()
+	s.dispatch.Close()
+	s.wait.Wait()
+	return err
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/placement"
+)
+
+// relay passes a stream on as it arrives, by whole events, so that another instance
+// can go on behind the last one that was delivered. The header leaves with the first
+// event: until then a failure can still be answered, or mended elsewhere.
+func (x *exchange) relay(ctx context.Context, slow *time.Timer, placed *placement.Placed, in *backend.Incoming, answer Answer) (verdict, error) {
+	events := eventReader{source: in.Body}
+	for {
+		chunk, err := events.next()
+		if len(chunk) > 0 {
+			if slow.Stop(); !x.answering {
+				x.s.dispatch.began(x.service.ID, placed, answer.Load)
+				x.beginStream(in)
+			}
+			if !x.sendEvents(chunk, events.counted, events.lastID) {
+				in.Finish(false)
+				x.done(placed, placement.OutcomeNeutral)
+				x.logGone()
+				return verdictGone, nil
+			}
+		}
+		if err == io.EOF {
+			in.Finish(true)
+			if !x.answering {
+				x.beginStream(in)
+			}
+			x.done(placed, placement.OutcomeOK)
+			x.logEnd(nil)
+			return verdictAnswered, nil
+		}
+		if err != nil {
+			in.Finish(false)
+			return x.broken(ctx, placed, true, eris.Wrap(err, "read the stream"))
+		}
+	}
+}
+
+// beginStream sends the header of the first instance's answer. Later instances of a
+// resumed stream send none.
+func (x *exchange) beginStream(in *backend.Incoming) {
+	x.answering = true
+	x.status = in.Status
+	x.s.cfg.Protocol.Deliver(x.w.Header(), in.Header)
+	x.closeIfStopping()
+	x.w.WriteHeader(in.Status)
+	x.s.firstByte(x)
+}
+
+func (x *exchange) sendEvents(chunk []byte, count int, last string) bool {
+	if _, err := x.w.Write(chunk); err != nil {
+		return false
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return false
+	}
+	x.events += count
+	if last != "" {
+		x.lastEvent = last
+	}
+	return true
+}
+
+// cutOff ends an answer that has begun and cannot be completed, so that it does not
+// look complete.
+func (x *exchange) cutOff(cause Cause) {
+	x.cause = cause
+	x.logEnd(nil)
+	panic(http.ErrAbortHandler)
+}
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// eventReader cuts a stream of events at their ends.
+type eventReader struct {
+	source  io.Reader
+	buffer  []byte
+	pending int // bytes of buffer that have not been returned
+	start   int
+	// counted is the number of events in the chunk that next returned, lastID the
+	// id of the last one, if it has one.
+	counted int
+	lastID  string
+}
+
+// next returns one or more whole events. At the clean end of the stream it returns
+// what is left with io.EOF, and after a failure only the error.
+func (e *eventReader) next() ([]byte, error) {
+	copy(e.buffer, e.buffer[e.start:e.start+e.pending])
+	e.start = 0
+	e.counted = 0
+	e.lastID = ""
+	for {
+		if cap(e.buffer)-e.pending < 1024 {
+			if e.pending > maxEventBytes {
+				return nil, eris.Errorf("an event exceeds %d bytes", maxEventBytes)
+			}
+			grown := make([]byte, e.pending, 2*cap(e.buffer)+4096)
+			copy(grown, e.buffer[:e.pending])
+			e.buffer = grown
+		}
+		n, err := e.source.Read(e.buffer[e.pending:cap(e.buffer)])
+		e.buffer = e.buffer[:e.pending+n]
+		e.pending += n
+		if err == io.EOF {
+			rest := e.buffer[:e.pending]
+			e.count(rest)
+			e.pending = 0
+			return rest, err
+		}
+		if end := lastEventEnd(e.buffer[:e.pending]); end > 0 {
+			chunk := e.buffer[:end]
+			e.count(chunk)
+			e.start = end
+			e.pending -= end
+			return chunk, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the place behind the last blank line, or 0.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, blank := range blankLines {
+		if i := bytes.LastIndex(data, blank); i >= 0 {
+			end = max(end, i+len(blank))
+		}
+	}
+	return end
+}
+
+// count counts the events of a chunk and finds the last id.
+func (e *eventReader) count(chunk []byte) {
+	inEvent := false
+	for line := range bytes.Lines(chunk) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if inEvent {
+				e.counted++
+			}
+			inEvent = false
+			continue
+		}
+		inEvent = true
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+	if inEvent {
+		e.counted++
+	}
+}
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -47,8 +47,8 @@
 // Policy chooses how much a pool aims at.
 type Policy string
 
-// The policies. The last is in use; the others are baselines that measurements
-// compare it with.
+// The policies. PolicyDemandRecall and PolicyMetered are in use; the others are
+// baselines that measurements compare with.
 const (
 	// PolicyFixedShare aims at the ledger's share, whatever the demand, and
 	// answers no recall.
@@ -57,6 +57,9 @@
 	PolicyDemand Policy = "demand"
 	// PolicyDemandRecall follows demand and answers recalls.
 	PolicyDemandRecall Policy = "demandRecall"
+	// PolicyMetered is for metered budgets: the pool keeps a fixed part of what
+	// a budget has left, reports what it spends, and answers recalls.
+	PolicyMetered Policy = "metered"
 )
 
 // Config sets up a Pool.
@@ -72,6 +75,9 @@
 type Pool struct {
 	cfg     Config
 	budgets map[fleet.BudgetID]*quota
+	// holdPerMille is the part of a metered budget's remainder that this
+	// holder keeps.
+	holdPerMille int64
 }
 
 type quota struct {
@@ -90,6 +96,10 @@
 	usedAt   time.Duration
 	askedAt  time.Duration
 	last     ledger.LeaseResult
+	// spent is what was used of a metered lease and has not been reported.
+	spent fleet.Tokens
+	// wanted asks for a change although nothing was spent.
+	wanted bool
 }
 
 // New returns an empty pool.
@@ -126,6 +136,16 @@
 	return true
 }
 
+// Hold sets the part of a metered budget's remainder that the pool keeps, and asks
+// for it for each of the budgets at once: a network partition may come before their
+// first request.
+func (p *Pool) Hold(perMille int64, budgets []fleet.BudgetID, now time.Duration) {
+	p.holdPerMille = perMille
+	for _, id := range budgets {
+		p.quota(id, now).wanted = true
+	}
+}
+
 // SetNeed tells what the request that waits first for this budget needs. The needs
 // of several are not added up: a sum that the budget cannot meet would be granted
 // nothing, and all would be refused where one could be served.
@@ -138,6 +158,10 @@
 	q := p.quota(budget, now)
 	q.reserved -= reserved
 	q.free += reserved - spent
+	if p.cfg.Policy == PolicyMetered {
+		q.spent += spent
+		return
+	}
 	q.observe(spent, now)
 }
 
@@ -164,7 +188,7 @@
 
 // Recall takes note that the ledger wants quota back.
 func (p *Pool) Recall(budget fleet.BudgetID, now time.Duration) {
-	if p.cfg.Policy == PolicyDemandRecall {
+	if p.cfg.Policy == PolicyDemandRecall || p.cfg.Policy == PolicyMetered {
 		p.quota(budget, now).recalled = true
 	}
 }
@@ -216,6 +240,9 @@
 	if q.recalled {
 		return p.answerRecall(id, q)
 	}
+	if p.cfg.Policy == PolicyMetered {
+		return p.meteredChange(id, q, now)
+	}
 	target := p.target(q, now)
 	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
 	low := q.free < target*floorPerMille/1000 && now-q.askedAt >= askAgainAfter
@@ -236,6 +263,22 @@
 	return nil
 }
 
+// meteredChange reports spending and asks for the pool's part. Asking for what is
+// there anyway costs nothing beside the report.
+func (p *Pool) meteredChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
+	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	due := (q.spent > 0 || q.wanted) && now-q.askedAt >= askAgainAfter
+	if !short && !due {
+		return nil
+	}
+	q.askedAt = now
+	q.wanted = false
+	change := p.change(id, q)
+	change.Need = max(q.need-q.free, 0)
+	change.Want = math.MaxInt64 / 4
+	return change
+}
+
 func (p *Pool) answerRecall(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
 	q.recalled = false
 	change := p.change(id, q)
@@ -248,11 +291,15 @@
 
 func (p *Pool) change(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
 	q.seq++
+	spent := q.spent
+	q.spent = 0
 	return &ledger.LeaseChange{
 		Holder:        p.cfg.Holder,
 		Budget:        id,
 		Seq:           q.seq,
 		SharePerMille: p.cfg.SharePerMille,
+		Spent:         spent,
+		HoldPerMille:  p.holdPerMille,
 	}
 }
 
@@ -284,7 +331,7 @@
 	var changes []ledger.LeaseChange
 	for _, id := range p.ids() {
 		q := p.budgets[id]
-		if q.pending != nil || q.free == 0 {
+		if q.pending != nil || q.free == 0 && q.spent == 0 {
 			continue
 		}
 		change := p.change(id, q)
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -12,6 +12,10 @@
 // the earlier one has ended.
 type Join struct {
 	Holder fleet.Holder `json:"holder"`
+	// Life is random and not 0 where the node has no clock to number its lives
+	// by: the time of day jumps, and a node without a disk remembers nothing.
+	// The ledger then numbers the life itself.
+	Life uint64 `json:"life,omitempty"`
 }
 
 // LeaseChange moves quota between a budget and a holder. The holder numbers its
@@ -34,6 +38,12 @@
 	SharePerMille int64 `json:"sharePerMille"`
 	// AnswersRecall says that the holder gave back all it could.
 	AnswersRecall bool `json:"answersRecall,omitempty"`
+	// Spent is what the holder has used of the lease since its last change. It
+	// is for metered budgets, whose requests are not billed one by one.
+	Spent fleet.Tokens `json:"spent,omitempty"`
+	// HoldPerMille, where it is not 0, bounds what the holder has in all,
+	// beyond Need, as a part of what the budget has left to spend.
+	HoldPerMille int64 `json:"holdPerMille,omitempty"`
 }
 
 // LeaseResult answers a LeaseChange.
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -29,6 +29,23 @@
 	return true
 }
 
+// JoinLife registers a node's new life under a number of the ledger's choice, which
+// it returns. A repeated command gets the same number.
+func (s *State) JoinLife(join Join) fleet.Incarnation {
+	node := join.Holder.Node
+	last, known := s.holders[node]
+	if known && s.lives[node] == join.Life {
+		return last
+	}
+	s.lives[node] = join.Life
+	holder := fleet.Holder{
+		Node:        node,
+		Incarnation: max(join.Holder.Incarnation, last+1),
+	}
+	s.Join(holder)
+	return holder.Incarnation
+}
+
 // Remove takes note that a node is destroyed and will never run again.
 func (s *State) Remove(node fleet.NodeID) {
 	last, known := s.holders[node]
@@ -36,6 +53,7 @@
 		return
 	}
 	delete(s.holders, node)
+	delete(s.lives, node)
 	for ended, waiting := range s.ending {
 		delete(waiting, node)
 		s.reclaimIfConfirmed(ended)
@@ -52,6 +70,7 @@
 }
 
 func (s *State) end(ended fleet.Holder) {
+	s.forfeit(ended)
 	waiting := map[fleet.NodeID]bool{}
 	for node := range s.holders {
 		waiting[node] = true
@@ -60,6 +79,19 @@
 	s.reclaimIfConfirmed(ended)
 }
 
+// forfeit counts what an ended holder had of metered budgets as spent. It may have
+// been: the holder's last report is lost.
+func (s *State) forfeit(ended fleet.Holder) {
+	for _, a := range s.accounts {
+		l, ok := a.leases[ended]
+		if !ok || !a.metered {
+			continue
+		}
+		a.spend(l, l.outstanding)
+		delete(a.leases, ended)
+	}
+}
+
 // Confirm takes a node's word that it holds no settlement of an ended holder.
 func (s *State) Confirm(c ConfirmNoneHeld) {
 	if s.holders[c.By.Node] != c.By.Incarnation {
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
@@ -15,6 +16,8 @@
 	Ending      []EndingImage     `json:"ending"`
 	Settlements []SettlementImage `json:"settlements"`
 	Calls       []CallImage       `json:"calls"`
+	// Lives holds the lives that the ledger numbered itself.
+	Lives map[fleet.NodeID]uint64 `json:"lives,omitempty"`
 }
 
 // AccountImage is one budget in an Image.
@@ -25,6 +28,7 @@
 	Prepaid fleet.Tokens   `json:"prepaid"`
 	Settled fleet.Tokens   `json:"settled"`
 	Leases  []LeaseImage   `json:"leases"`
+	Metered bool           `json:"metered,omitempty"`
 }
 
 // LeaseImage is one lease in an Image.
@@ -70,6 +74,7 @@
 	image := Image{
 		Now:      s.now,
 		Unbacked: s.unbacked,
+		Lives:    maps.Clone(s.lives),
 	}
 	for id, a := range s.accounts {
 		image.Accounts = append(image.Accounts, a.image(id))
@@ -110,6 +115,7 @@
 		ID:      id,
 		Prepaid: a.prepaid,
 		Settled: a.settled,
+		Metered: a.metered,
 	}
 	for holder, l := range a.leases {
 		image.Leases = append(image.Leases, LeaseImage{
@@ -156,6 +162,7 @@
 	s := New()
 	s.now = image.Now
 	s.unbacked = image.Unbacked
+	maps.Copy(s.lives, image.Lives)
 	for _, a := range image.Accounts {
 		s.accounts[a.ID] = accountFromImage(a)
 	}
@@ -191,6 +198,7 @@
 	a := &account{
 		prepaid: image.Prepaid,
 		settled: image.Settled,
+		metered: image.Metered,
 		leases:  map[fleet.Holder]*lease{},
 	}
 	for _, l := range image.Leases {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -54,6 +54,7 @@
 type State struct {
 	accounts    map[fleet.BudgetID]*account
 	holders     map[fleet.NodeID]fleet.Incarnation
+	lives       map[fleet.NodeID]uint64
 	ending      map[fleet.Holder]map[fleet.NodeID]bool
 	settlements map[billKey]billed
 	calls       map[RequestKey]*call
@@ -70,6 +71,9 @@
 	settled fleet.Tokens
 	leased  fleet.Tokens
 	leases  map[fleet.Holder]*lease
+	// metered budgets learn of spending from their holders' sums. What an ended
+	// holder had not reported counts as spent.
+	metered bool
 }
 
 func (a *account) free() fleet.Tokens {
@@ -121,6 +125,7 @@
 	return &State{
 		accounts:    map[fleet.BudgetID]*account{},
 		holders:     map[fleet.NodeID]fleet.Incarnation{},
+		lives:       map[fleet.NodeID]uint64{},
 		ending:      map[fleet.Holder]map[fleet.NodeID]bool{},
 		settlements: map[billKey]billed{},
 		calls:       map[RequestKey]*call{},
@@ -170,6 +175,23 @@
 	return !ok || prepaid >= a.settled+a.leased
 }
 
+// Meter sets the whole prepaid amount of a metered budget, creating it if need be.
+// Unlike SetPrepaid it takes any amount. Where less remains than is leased, holders
+// are asked to give back, and nothing is granted until they have.
+func (s *State) Meter(id fleet.BudgetID, prepaid fleet.Tokens) []Recall {
+	a, ok := s.accounts[id]
+	if !ok {
+		a = &account{leases: map[fleet.Holder]*lease{}}
+		s.accounts[id] = a
+	}
+	a.metered = true
+	a.prepaid = prepaid
+	if a.free() >= 0 {
+		return nil
+	}
+	return s.recallOthers(id, a, fleet.Holder{})
+}
+
 // ChangeLease carries out a LeaseChange. It returns the recalls that other
 // holders must hear of.
 func (s *State) ChangeLease(c LeaseChange) (LeaseResult, []Recall) {
@@ -187,13 +209,16 @@
 	give := min(max(c.Give, 0), l.outstanding)
 	l.outstanding -= give
 	a.leased -= give
+	if a.metered {
+		a.spend(l, c.Spent)
+	}
 	if c.AnswersRecall {
 		l.recalling = false
 		l.answeredAt = s.now
 	}
 	result := LeaseResult{
 		Seq:     c.Seq,
-		Granted: a.grant(c),
+		Granted: a.grant(c, l.outstanding),
 	}
 	l.outstanding += result.Granted
 	a.leased += result.Granted
@@ -208,6 +233,14 @@
 	return result, recalls
 }
 
+// spend turns a part of a lease into settled spending.
+func (a *account) spend(l *lease, tokens fleet.Tokens) {
+	spent := min(max(tokens, 0), l.outstanding)
+	l.outstanding -= spent
+	a.leased -= spent
+	a.settled += spent
+}
+
 func (a *account) lease(holder fleet.Holder) *lease {
 	l, ok := a.leases[holder]
 	if !ok {
@@ -221,12 +254,16 @@
 // Beyond that, a holder gets a share of what remains, so that a budget near its
 // end is not stranded on one node: the share shrinks with the remainder, and the
 // last tokens stay with the ledger for whoever asks next.
-func (a *account) grant(c LeaseChange) fleet.Tokens {
+func (a *account) grant(c LeaseChange, held fleet.Tokens) fleet.Tokens {
 	free := a.free()
 	need := max(c.Need, 0)
 	if need > free {
 		return 0
 	}
+	if c.HoldPerMille > 0 {
+		hold := (a.prepaid - a.settled) / 1000 * fleet.Tokens(min(c.HoldPerMille, 1000))
+		return need + min(max(c.Want-need, 0), max(hold-held-need, 0), free-need)
+	}
 	share := fleet.Tokens(int64(free-need) / 1000 * min(max(c.SharePerMille, 0), 1000))
 	extra := min(max(c.Want-need, 0), share)
 	return need + extra
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,7 +43,9 @@
 	directoryMargin = time.Second
 	burnTimeout     = time.Second
 	headerTimeout   = 10 * time.Second
-	idleTimeout     = 2 * time.Minute
+	// idleTimeout is how long an idle connection is kept, longer than any caller
+	// goes on using one.
+	idleTimeout = 2 * time.Minute
 	// callerSilence ends a caller's connection whose data is not acknowledged.
 	callerSilence = 8 * time.Second
 	pollStop      = 20 * time.Millisecond
@@ -74,6 +77,7 @@
 	serving  atomic.Pointer[entry.Server]
 	callers  *http.Server
 	operator *http.Server
+	site     *site
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -124,6 +128,9 @@
 		}
 	}
 	n.openLink()
+	if s.Site != nil {
+		return n.openSite()
+	}
 	if s.Entry != nil {
 		if err := n.openEntry(); err != nil {
 			return err
@@ -140,15 +147,20 @@
 		return err
 	}
 	n.folder = folder
-	n.replica, err = control.NewReplica(control.Config{
+	cfg := control.Config{
 		Node:      s.Node,
 		Peers:     controlPeers(s),
 		Bootstrap: s.Control.Bootstrap,
 		Disk:      folder,
 		Endpoint:  n.endpoint,
 		Log:       n.cfg.Log,
-	})
-	if err != nil {
+	}
+	if s.Site != nil {
+		cfg.Seeds = s.Site.SeedAddresses()
+		cfg.Losses = s.Site.Losses
+	}
+	n.replica, err = control.NewReplica(cfg)
+	if err != nil || s.Site != nil {
 		return err
 	}
 	n.issuer = orders.NewIssuer(orders.IssuerConfig{
@@ -189,12 +201,18 @@
 	cfg := uplink.Config{
 		Holder:   n.holder,
 		Endpoint: n.endpoint,
-		Replicas: replicaOrder(n.cfg.Settings),
 		Report:   n.report,
 		Log:      n.cfg.Log,
 	}
-	if n.folder != nil {
+	switch {
+	case n.cfg.Settings.Site != nil:
+		cfg.Replicas = siteReplicas(n.cfg.Settings)
+		cfg.Life = rand.Uint64() | 1
+	case n.folder != nil:
 		cfg.Store = &viewStore{disk: n.folder}
+		fallthrough
+	default:
+		cfg.Replicas = replicaOrder(n.cfg.Settings)
 	}
 	n.link = uplink.New(cfg)
 }
@@ -214,6 +232,9 @@
 		report.Callers = s.Advertise.Callers
 		report.LoadPerMille = serving.LoadPerMille()
 	}
+	if s.Site != nil && n.joined.Load() && !n.link.Rejected() {
+		report.Callers = s.Site.Listen.Callers
+	}
 	return report
 }
 
@@ -319,6 +340,7 @@
 		ReadTimeout:       time.Minute,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    64 << 10,
+		ErrorLog:          n.serverLog(),
 	}
 	n.wait.Go(func() { _ = server.Serve(listener) })
 	return server, nil
--- a/node/stop.go
+++ b/node/stop.go
@@ -24,10 +24,13 @@
 	n.cfg.Log.Info(event.NodeStopping).Msg("planned stop")
 	n.state.Store(roster.StateStopping)
 	n.link.Beat()
+	if n.site != nil {
+		n.stopSite(ctx)
+	}
 	if n.entry != nil {
 		n.drain(ctx)
 	}
-	if n.replica != nil {
+	if n.replica != nil && n.site == nil {
 		n.replica.HandOver()
 	}
 	n.closeAll()
@@ -71,6 +74,7 @@
 // closeAll closes what is open, in the order in which the parts need one another.
 func (n *Node) closeAll() {
 	n.cancel()
+	n.closeSite()
 	if n.callers != nil {
 		_ = n.callers.Close()
 	}
--- /dev/null
+++ b/placement/forecast.go
@@ -0,0 +1,413 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// Figures of the forecast. Times are added up into one predicted wait, so all are
+// expressed as time.
+const (
+	// prefillRate is the prompt tokens that an engine reads in a millisecond. It
+	// lies below what the engines of today do (50 to 62), since a batch of
+	// running requests takes a part of it.
+	prefillRate = 45.0
+	// runningCost is how much one more running request delays a first token.
+	runningCost = 150 * time.Microsecond
+	// farCost is what a request to another data centre loses: a round trip, and
+	// its bytes.
+	farCost = 8 * time.Millisecond
+	// errorCost is the wait that a server with nothing but errors is worth.
+	errorCost = 2 * time.Second
+	// errorMemory is the weight of the latest outcome in a server's error rate.
+	errorMemory = 0.15
+	// overdueAfter is the silence of a server, with requests under way, from
+	// which on it is taken to be in trouble.
+	overdueAfter = 900 * time.Millisecond
+	// overdueCost is what such a silence is worth.
+	overdueCost = 3 * time.Second
+	// serviceTime is the work of a plain service's request until one was seen.
+	serviceTime = 20 * time.Millisecond
+	// minSharedTokens is the size from which on a shared part decides where a
+	// request goes; a smaller one is read again in less time than a detour
+	// costs.
+	minSharedTokens = 512
+	// partLife is how long a part is expected to stay in an engine's cache after
+	// its last use.
+	partLife = 30 * time.Second
+)
+
+// rankCached is the chance that an engine holds a shared part of which this node does
+// not know, by the engine's rank in the part's hash order: other nodes send the
+// part's requests there.
+var rankCached = [...]float64{0.9, 0.3}
+
+// maxParts bounds the remembered parts of one engine.
+const maxParts = 4096
+
+// ForecastConfig sets up a Forecast.
+type ForecastConfig struct {
+	DataCentre fleet.DataCentre
+	Seed       uint64
+}
+
+// Forecast chooses an instance for each routed request by the wait that it predicts:
+// what is queued before the request, what of its prompt is not cached there, and what
+// recent outcomes say of the instance. It is not safe for concurrent use.
+//
+// # Why prompts decide
+//
+// An engine reads a prompt of 17,000 tokens in about 300 ms, and a quarter of that is
+// the request's own; the rest is shared with other requests about the same subject.
+// Sent to the engine that has just read the subject it costs a quarter. So each
+// shared part has an order of engines, by rendezvous hash, that all nodes agree on
+// without a message, and the first engine of that order is predicted to hold the part.
+// A busy first engine loses to the second as soon as its queue costs more than reading
+// the part again: the load is bounded by the same sum that places the request.
+type Forecast struct {
+	cfg     ForecastConfig
+	rng     *rand.Rand
+	servers map[fleet.BackendServerID]*forecastServer
+	order   []fleet.BackendServerID
+}
+
+type forecastServer struct {
+	instance routing.Instance
+	// running and backlog are this node's own requests there: those without a
+	// last byte, and the prompt tokens of those without a first.
+	running int
+	waiting int
+	backlog float64
+	// reportedRunning and reportedWaiting are all callers' requests as of
+	// reportedAt.
+	reportedRunning int
+	reportedWaiting int
+	reportedAt      time.Duration
+	errors          float64
+	service         time.Duration
+	failures        int
+	suspect         time.Duration
+	// heardAt is when it last answered anything; silentSince when the oldest
+	// wait without a word began, 0 for none.
+	heardAt     time.Duration
+	silentSince time.Duration
+	// goneUntil keeps an instance that said that it is leaving out of the choice
+	// until the list must have said so too.
+	goneUntil time.Duration
+	parts     map[routing.PartID]time.Duration
+}
+
+// ForecastRequest is what the choice depends on.
+type ForecastRequest struct {
+	ID    routing.RequestID
+	Parts []routing.Part
+	// Prompt is the whole prompt, 0 for a plain service.
+	Prompt fleet.Tokens
+	Avoid  []fleet.BackendServerID
+}
+
+// Placed is a request on an instance, until Done.
+type Placed struct {
+	Instance routing.Instance
+	// Predicted is the predicted wait until the first byte.
+	Predicted time.Duration
+	// Uncached is the part of the prompt that was taken to be read anew.
+	Uncached fleet.Tokens
+	// Candidates is how many instances were usable, LoadAge how old the chosen
+	// one's load report was.
+	Candidates int
+	LoadAge    time.Duration
+
+	started time.Duration
+	began   bool
+}
+
+// NewForecast returns a forecast without instances.
+func NewForecast(cfg ForecastConfig) *Forecast {
+	return &Forecast{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		servers: map[fleet.BackendServerID]*forecastServer{},
+	}
+}
+
+// SetInstances puts a set of instances in place and keeps what is known of those that
+// stay.
+func (f *Forecast) SetInstances(instances []routing.Instance) {
+	f.order = f.order[:0]
+	next := map[fleet.BackendServerID]*forecastServer{}
+	for _, instance := range instances {
+		s, ok := f.servers[instance.ID]
+		if !ok {
+			s = &forecastServer{
+				parts:      map[routing.PartID]time.Duration{},
+				reportedAt: -time.Hour,
+			}
+		}
+		s.instance = instance
+		next[instance.ID] = s
+		f.order = append(f.order, instance.ID)
+	}
+	f.servers = next
+	slices.Sort(f.order)
+}
+
+// Usable returns how many instances may get new work.
+func (f *Forecast) Usable(now time.Duration) int {
+	n := 0
+	for _, s := range f.servers {
+		if s.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *forecastServer) present(now time.Duration) bool {
+	return !s.instance.Leaving && now >= s.goneUntil
+}
+
+func (s *forecastServer) usable(now time.Duration) bool {
+	return s.present(now) && now >= s.suspect
+}
+
+// Pick chooses an instance and counts the request as started there. It reports false
+// where there is none that may get work and is not to be avoided.
+func (f *Forecast) Pick(r ForecastRequest, now time.Duration) (Placed, bool) {
+	best, found := f.pick(r, now, false)
+	if !found {
+		// All are suspected. One of them is a better answer than none: a verdict
+		// must not empty a service.
+		best, found = f.pick(r, now, true)
+	}
+	if !found {
+		return Placed{}, false
+	}
+	s := f.servers[best.Instance.ID]
+	s.running++
+	s.waiting++
+	s.backlog += float64(best.Uncached)
+	if s.silentSince == 0 {
+		s.silentSince = now
+	}
+	f.remember(s, r.Parts, now)
+	return best, true
+}
+
+func (f *Forecast) pick(r ForecastRequest, now time.Duration, suspects bool) (Placed, bool) {
+	best := Placed{}
+	candidates := 0
+	ranked := f.rank(r.Parts, now)
+	for _, id := range f.order {
+		s := f.servers[id]
+		if !s.present(now) || !suspects && now < s.suspect || slices.Contains(r.Avoid, id) {
+			continue
+		}
+		candidates++
+		uncached := f.uncached(s, r, ranked, now)
+		wait := s.wait(r, uncached, now)
+		if s.instance.DataCentre != f.cfg.DataCentre {
+			wait += farCost
+		}
+		// A little chance keeps nodes with equal knowledge from choosing alike.
+		wait += time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+		if candidates == 1 || wait < best.Predicted {
+			best = Placed{
+				Instance:  s.instance,
+				Predicted: wait,
+				Uncached:  uncached,
+				LoadAge:   now - s.reportedAt,
+				started:   now,
+			}
+		}
+	}
+	best.Candidates = candidates
+	return best, candidates > 0
+}
+
+// rank returns the engines that are first in the hash order of the request's longest
+// shared part, or none where its shared parts are small. The last part is the
+// request's own.
+func (f *Forecast) rank(parts []routing.Part, now time.Duration) []fleet.BackendServerID {
+	if len(parts) < 2 {
+		return nil
+	}
+	shared := parts[:len(parts)-1]
+	longest := slices.MaxFunc(shared, func(a, b routing.Part) int { return int(a.Tokens - b.Tokens) })
+	if longest.Tokens < minSharedTokens {
+		return nil
+	}
+	var ranked [len(rankCached)]fleet.BackendServerID
+	var weights [len(rankCached)]uint64
+	for _, id := range f.order {
+		s := f.servers[id]
+		if !s.present(now) {
+			continue
+		}
+		weight := xxhash.Sum64String(string(longest.ID) + "\x00" + string(id))
+		for i := range ranked {
+			if ranked[i] == "" || weight > weights[i] {
+				copy(ranked[i+1:], ranked[i:])
+				copy(weights[i+1:], weights[i:])
+				ranked[i], weights[i] = id, weight
+				break
+			}
+		}
+	}
+	return ranked[:]
+}
+
+// uncached predicts how much of the prompt an engine must read.
+func (f *Forecast) uncached(s *forecastServer, r ForecastRequest, ranked []fleet.BackendServerID, now time.Duration) fleet.Tokens {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	chance := 0.0
+	if i := slices.Index(ranked, s.instance.ID); i >= 0 {
+		chance = rankCached[i]
+	}
+	cached := 0.0
+	leading := true
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		at, known := s.parts[part.ID]
+		leading = leading && known && now-at < partLife
+		if leading {
+			cached += float64(part.Tokens)
+		} else {
+			cached += chance * float64(part.Tokens)
+		}
+	}
+	return max(r.Prompt-fleet.Tokens(cached), 1)
+}
+
+// wait predicts the time until the first byte.
+func (s *forecastServer) wait(r ForecastRequest, uncached fleet.Tokens, now time.Duration) time.Duration {
+	wait := time.Duration(s.errors * float64(errorCost))
+	if since := max(s.heardAt, s.silentSince); s.silentSince > 0 && now-since > overdueAfter {
+		wait += overdueCost
+	}
+	age := now - s.reportedAt
+	fresh := 1 / (1 + float64(age)/float64(loadHalfLife))
+	others := max(float64(s.reportedRunning-s.running), 0) * fresh
+	queued := max(float64(s.reportedWaiting-s.waiting), 0) * fresh
+	running := float64(s.running) + others
+	if r.Prompt == 0 {
+		work := s.service
+		if work == 0 {
+			work = serviceTime
+		}
+		over := max(running+queued+1-float64(s.instance.Slots), 0)
+		return wait + time.Duration((over/float64(max(s.instance.Slots, 1))+running*0.05)*float64(work))
+	}
+	tokens := s.backlog + float64(uncached) + queued*float64(r.Prompt)/2
+	wait += time.Duration(tokens / prefillRate * float64(time.Millisecond))
+	return wait + time.Duration(running)*runningCost
+}
+
+func (f *Forecast) remember(s *forecastServer, parts []routing.Part, now time.Duration) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, part := range parts[:len(parts)-1] {
+		s.parts[part.ID] = now
+	}
+	if len(s.parts) <= maxParts {
+		return
+	}
+	for id, at := range s.parts {
+		if now-at > partLife || len(s.parts) > maxParts {
+			delete(s.parts, id)
+		}
+	}
+}
+
+// Began takes in the first byte of an answer.
+func (f *Forecast) Began(p *Placed, now time.Duration) {
+	s, ok := f.servers[p.Instance.ID]
+	if !ok || p.began {
+		return
+	}
+	p.began = true
+	s.first(p, now)
+	s.heardAt = now
+}
+
+func (s *forecastServer) first(p *Placed, now time.Duration) {
+	s.waiting--
+	s.backlog = max(s.backlog-float64(p.Uncached), 0)
+	if s.waiting == 0 {
+		s.silentSince = 0
+		s.backlog = 0
+	} else {
+		s.silentSince = now
+	}
+}
+
+// Done ends a request that Pick placed, and learns from its outcome.
+func (f *Forecast) Done(p *Placed, outcome Outcome, now time.Duration) {
+	s, ok := f.servers[p.Instance.ID]
+	if !ok {
+		return
+	}
+	if !p.began {
+		p.began = true
+		s.first(p, now)
+	}
+	s.running--
+	switch outcome {
+	case OutcomeOK:
+		s.heardAt = now
+		s.failures = 0
+		s.errors *= 1 - errorMemory
+		took := now - p.started
+		s.service += (took - s.service) / 8
+	case OutcomeSlow:
+		s.errors += (1 - s.errors) * errorMemory / 2
+	case OutcomeBusy:
+		s.heardAt = now
+		s.suspect = max(s.suspect, now+busyPause)
+	case OutcomeLeaving:
+		s.goneUntil = now + goneHold
+	case OutcomeFailed:
+		s.errors += (1 - s.errors) * errorMemory
+		s.failures++
+		if s.failures >= failuresToSuspect {
+			s.suspect = now + min(suspectTime<<min(s.failures-failuresToSuspect, 3), maxSuspectTime)
+		}
+	case OutcomeNeutral:
+	}
+}
+
+const (
+	// busyPause keeps a server that refused for lack of room out of the choice,
+	// about as long as a request of its queue takes.
+	busyPause = 250 * time.Millisecond
+	// failuresToSuspect is the number of failures in a row that take a server out
+	// of the choice.
+	failuresToSuspect = 2
+	// goneHold is longer than the list of instances lags.
+	goneHold = 4 * time.Second
+)
+
+// Report takes in what an instance says of its load.
+func (f *Forecast) Report(id fleet.BackendServerID, running, waiting int, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.reportedRunning = running
+		s.reportedWaiting = waiting
+		s.reportedAt = now
+		s.heardAt = now
+	}
+}
+
+// Gone takes note that an instance is leaving or has left.
+func (f *Forecast) Gone(id fleet.BackendServerID, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.goneUntil = now + goneHold
+	}
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -40,6 +40,9 @@
 	Ledger Ledger
 	// Patience is how long a request waits for quota.
 	Patience time.Duration
+	// Fresh, where it is set, reports whether the ledger can be reached. While it
+	// cannot, no request waits for quota that will not come.
+	Fresh func() bool
 }
 
 // Keeper owns the node's lease pool. Its state belongs to one goroutine.
@@ -47,6 +50,7 @@
 	*loop.Loop
 	ledger   Ledger
 	patience time.Duration
+	fresh    func() bool
 	pool     *lease.Pool
 	waiting  map[fleet.BudgetID][]*waiter
 	// sending is true while a command of lease changes is under way.
@@ -66,6 +70,7 @@
 		Loop:     loop.New(),
 		ledger:   cfg.Ledger,
 		patience: cfg.Patience,
+		fresh:    cfg.Fresh,
 		pool:     cfg.Pool,
 		waiting:  map[fleet.BudgetID][]*waiter{},
 	}
@@ -86,6 +91,10 @@
 			w.answer <- nil
 			return
 		}
+		if k.fresh != nil && !k.fresh() {
+			w.answer <- &Shortage{}
+			return
+		}
 		k.waiting[budget] = append(k.waiting[budget], w)
 		k.updateNeed(budget)
 	})
@@ -137,6 +146,11 @@
 	})
 }
 
+// Hold sets the part of metered budgets that the node keeps.
+func (k *Keeper) Hold(perMille int64, budgets []fleet.BudgetID) {
+	k.Do(func() { k.pool.Hold(perMille, budgets, clock.Boot()) })
+}
+
 // Recalled takes in the ledger's recalls.
 func (k *Keeper) Recalled(recalls []ledger.Recall) {
 	k.Do(func() {
--- a/settings/check.go
+++ b/settings/check.go
@@ -123,6 +123,12 @@
 	if s.DataCentre == "" {
 		c.add("/dataCentre", "is missing", "name the data centre the VM stands in")
 	}
+	if s.Site != nil {
+		c.address("/listen/wire", s.Listen.Wire)
+		c.secret(s)
+		c.site(s)
+		return c.problems
+	}
 	if s.Control == nil && s.Entry == nil {
 		c.add("/", "the node has no role", `add "control": {...}, "entry": {...} or both`)
 	}
@@ -235,6 +241,38 @@
 	c.add("/control/bootstrap", "is set on a node that controlNodes does not list", "set it on exactly one listed node")
 }
 
+// site checks a node that serves routed requests or their configuration.
+func (c *checker) site(s *Settings) {
+	site := s.Site
+	if s.Entry != nil {
+		c.add("/entry", "stands beside site", "a node serves chats and calls of its own interface, or routed requests")
+	}
+	if len(site.Seeds) == 0 {
+		c.add("/site/seeds", "is empty", "name at least one control VM")
+	}
+	if site.SeedPort == 0 {
+		c.add("/site/seedPort", "is missing", "the port of listen.wire on the control VMs")
+	}
+	if s.Control != nil {
+		c.address("/site/listen/control", site.Listen.Control)
+		if s.Control.DataFolder == "" {
+			c.add("/control/dataFolder", "is missing", "name the folder on the VM's disk that keeps the state")
+		}
+	} else {
+		c.address("/site/listen/callers", site.Listen.Callers)
+		c.address("/site/listen/ready", site.Listen.Ready)
+	}
+	c.address("/site/instanceList", site.InstanceList)
+	if site.InstanceListRate <= 0 {
+		c.add("/site/instanceListRate", fmt.Sprintf("is %v, want more than 0", site.InstanceListRate), "")
+	}
+	if site.RetryRatio < 0 || site.RetrySlack < 0 {
+		c.add("/site/retryRatio", "is negative, or retrySlack is", "")
+	}
+	c.inRange("/site/losses", int64(site.Losses), 0, 10)
+	c.inRange("/site/stopMillis", site.StopMillis, 500, 3_600_000)
+}
+
 func (c *checker) entry(e *Entry) {
 	c.inRange("/entry/leaseSharePerMille", e.LeaseSharePerMille, 1, 1000)
 	c.inRange("/entry/partitionMinutes", e.PartitionMinutes, 1, 600)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,52 @@
 	Control *Control `json:"control,omitempty"`
 	// Entry is present on a node that answers callers.
 	Entry *Entry `json:"entry,omitempty"`
+	// Site is present on a node that serves routed requests or their
+	// configuration. Its control VMs find one another from seeds.
+	Site *Site `json:"site,omitempty"`
+}
+
+// Site sets up a node that serves routed requests, or, with Control, their
+// configuration.
+type Site struct {
+	// Seeds are addresses of control VMs. Their ports are not used: all control
+	// VMs take part in the fleet's own traffic at SeedPort.
+	Seeds    []netip.AddrPort `json:"seeds"`
+	SeedPort uint16           `json:"seedPort"`
+	// Losses is how many control VMs may be lost at once.
+	Losses int        `json:"losses,omitempty"`
+	Listen SiteListen `json:"listen"`
+	// MemoryMegabytes is the memory that the process may use, 0 for no bound.
+	MemoryMegabytes int64 `json:"memoryMegabytes,omitempty"`
+	// InstanceList is the address of the list of instances, InstanceListRate the
+	// readings a second that all nodes together may make.
+	InstanceList     netip.AddrPort `json:"instanceList"`
+	InstanceListRate float64        `json:"instanceListRate"`
+	// RetryRatio and RetrySlack bound what all nodes together send beyond the
+	// first attempt of each request.
+	RetryRatio float64 `json:"retryRatio"`
+	RetrySlack float64 `json:"retrySlack"`
+	// StopMillis is the time that a planned stop may take.
+	StopMillis int64 `json:"stopMillis"`
+}
+
+// SiteListen holds a node's addresses at a site. Those of roles that the node does
+// not have are absent.
+type SiteListen struct {
+	Callers   netip.AddrPort `json:"callers,omitzero"`
+	Ready     netip.AddrPort `json:"ready,omitzero"`
+	Directory netip.AddrPort `json:"directory,omitzero"`
+	Control   netip.AddrPort `json:"control,omitzero"`
+	Metrics   netip.AddrPort `json:"metrics,omitzero"`
+}
+
+// SeedAddresses returns where the seeds take part in the fleet's own traffic.
+func (s Site) SeedAddresses() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, netip.AddrPortFrom(seed.Addr(), s.SeedPort))
+	}
+	return addresses
 }
 
 // Listen holds the node's own addresses.
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -52,6 +53,14 @@
 	Ending(holders []fleet.Holder)
 }
 
+// Watcher hears what concerns routed requests. Its functions must not block.
+type Watcher interface {
+	// Configured hears of a newer configuration.
+	Configured(view *routing.View)
+	// Listed hears of a newer list of instances.
+	Listed(list control.InstanceList)
+}
+
 // Store keeps the configuration across restarts.
 type Store interface {
 	Load() (catalog.Delta, bool)
@@ -60,7 +69,10 @@
 
 // Config sets up a Link.
 type Config struct {
-	Holder   fleet.Holder
+	Holder fleet.Holder
+	// Life is random and not 0 where the ledger is to number this life of the
+	// node.
+	Life     uint64
 	Endpoint *wire.Endpoint
 	// Replicas are the addresses of the control nodes, nearest first.
 	Replicas []netip.AddrPort
@@ -74,7 +86,12 @@
 // Link is an entry node's link to the control group.
 type Link struct {
 	cfg      Config
+	holder   atomic.Pointer[fleet.Holder]
+	joined   atomic.Bool
 	handler  atomic.Pointer[Handler]
+	watcher  atomic.Pointer[Watcher]
+	routing  atomic.Pointer[routing.View]
+	replicas atomic.Pointer[[]netip.AddrPort]
 	view     atomic.Pointer[catalog.View]
 	reports  atomic.Pointer[[]roster.Report]
 	leader   atomic.Pointer[netip.AddrPort]
@@ -100,6 +117,8 @@
 		ctx:     ctx,
 		cancel:  cancel,
 	}
+	l.holder.Store(&cfg.Holder)
+	l.replicas.Store(&cfg.Replicas)
 	l.view.Store(catalog.NewView())
 	l.reports.Store(&[]roster.Report{})
 	l.leader.Store(&netip.AddrPort{})
@@ -117,6 +136,25 @@
 	l.handler.Store(&h)
 }
 
+// SetWatcher sets who hears of the configuration and the instances of routed
+// requests, and tells it of the configuration in force.
+func (l *Link) SetWatcher(w Watcher) {
+	l.watcher.Store(&w)
+	if view := l.routing.Load(); view != nil {
+		w.Configured(view)
+	}
+}
+
+// SetReplicas replaces the addresses of the settings.
+func (l *Link) SetReplicas(replicas []netip.AddrPort) {
+	l.replicas.Store(&replicas)
+}
+
+// Holder returns this life of the node.
+func (l *Link) Holder() fleet.Holder {
+	return *l.holder.Load()
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.cancel()
@@ -204,7 +242,12 @@
 	for {
 		report := l.cfg.Report()
 		report.Version = l.View().Version
-		if ch.Send(control.Heartbeat{Report: report}) != nil {
+		report.Holder = l.Holder()
+		heartbeat := control.Heartbeat{
+			Report:  report,
+			Routing: l.routingVersion(),
+		}
+		if ch.Send(heartbeat) != nil {
 			return
 		}
 		select {
@@ -250,7 +293,7 @@
 	if update.Stale {
 		l.fresh.Store(false)
 	}
-	if update.Ended && !l.rejected.Swap(true) {
+	if update.Ended && l.joined.Load() && !l.rejected.Swap(true) {
 		l.cfg.Log.Error(event.HolderRejected).Msg("this life of the node has ended for the ledger; it serves nothing more")
 	}
 	if update.Leader.IsValid() {
@@ -260,6 +303,7 @@
 	if update.Delta != nil && l.adopt(*update.Delta) {
 		l.inForce()
 	}
+	l.takeRouting(update)
 	if len(update.Roster) > 0 {
 		l.takeRoster(update.Roster, known)
 	}
@@ -275,6 +319,35 @@
 	}
 }
 
+func (l *Link) routingVersion() routing.Version {
+	if view := l.routing.Load(); view != nil {
+		return view.Config.Version
+	}
+	return 0
+}
+
+// takeRouting puts a newer configuration of routed requests in force, and passes a
+// list of instances on.
+func (l *Link) takeRouting(update control.Update) {
+	watcher := l.watcher.Load()
+	if update.Routing != nil && update.Routing.Version > l.routingVersion() {
+		view := routing.NewView(*update.Routing)
+		l.routing.Store(view)
+		l.cfg.Log.Info(event.RoutingInForce).
+			Uint64("version", uint64(update.Routing.Version)).
+			Int("routes", len(update.Routing.Routes)).
+			Int("workspaces", len(update.Routing.Workspaces)).
+			Msg("configuration of routed requests in force")
+		if watcher != nil {
+			(*watcher).Configured(view)
+		}
+		l.Beat()
+	}
+	if update.Instances != nil && watcher != nil {
+		(*watcher).Listed(*update.Instances)
+	}
+}
+
 // inForce stores the configuration and says at once that it is in force.
 func (l *Link) inForce() {
 	view := l.View()
@@ -433,7 +506,7 @@
 // Replicas returns the addresses of the control nodes: those of the settings, and
 // those that the roster names, since tickets can move the control role to other VMs.
 func (l *Link) Replicas() []netip.AddrPort {
-	addresses := slices.Clone(l.cfg.Replicas)
+	addresses := slices.Clone(*l.replicas.Load())
 	for _, report := range l.Roster() {
 		if report.Control && !slices.Contains(addresses, report.Wire) {
 			addresses = append(addresses, report.Wire)
@@ -445,13 +518,20 @@
 // Join registers this life of the node and returns once that is done, or when ctx
 // ends.
 func (l *Link) Join(ctx context.Context) error {
-	result, err := l.Submit(ctx, control.Command{Join: &ledger.Join{Holder: l.cfg.Holder}})
+	holder := l.Holder()
+	result, err := l.Submit(ctx, control.Command{Join: &ledger.Join{
+		Holder: holder,
+		Life:   l.cfg.Life,
+	}})
 	if err != nil {
 		return err
 	}
 	if !result.Joined {
 		l.rejected.Store(true)
-		return eris.Errorf("uplink: a later life of node %s is registered; another process may run under this name, or the clock went back", l.cfg.Holder.Node)
+		return eris.Errorf("uplink: a later life of node %s is registered; another process may run under this name, or the clock went back", holder.Node)
 	}
+	holder.Incarnation = result.Incarnation
+	l.holder.Store(&holder)
+	l.joined.Store(true)
 	return nil
 }
