Leases sized by rate, lending between entry nodes, subscriptions dialled side by side

Ruled out: instances (noInstance 0) and the ledger (402 apart). A pool now aims at 16 s of its rate, gives back what it has far beyond, and borrows from other entry nodes while the control group is out of reach. An attempt is replaced at half time only if its instance has been silent.

--- a/event/event.go
+++ b/event/event.go
@@ -45,6 +45,7 @@
 	ListUnreadable   ID = 308
 	ListReadable     ID = 309
 	ConfigReplaced   ID = 310
+	QuotaLent        ID = 311
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -163,6 +163,19 @@
 	return may
 }
 
+// mayReplace reports whether an attempt that has no answer yet is to be given up for
+// another: its instance has said nothing at all since the attempt began, another one
+// is usable, and the retry budget allows it.
+func (d *dispatcher) mayReplace(service fleet.ServiceID, p *placement.Placed) bool {
+	may := false
+	d.Ask(func() {
+		f := d.forecast(service)
+		now := clock.Boot()
+		may = f.Silent(p) && f.Usable(now) > 1 && d.budget(service).Retry()
+	})
+	return may
+}
+
 // began takes in the first byte of an answer and the load that came with it.
 func (d *dispatcher) began(service fleet.ServiceID, p *placement.Placed, load *Load) {
 	d.Do(func() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,7 +54,9 @@
 	mayHaveRun bool
 	attempts   int
 	connects   int
-	avoid      []fleet.BackendServerID
+	// paid is set when the retry budget has paid for the next attempt already.
+	paid  bool
+	avoid []fleet.BackendServerID
 	// answering is set once the answer's header has left; events and lastEvent
 	// count what was delivered of a stream.
 	answering bool
@@ -290,7 +292,12 @@
 	if outcome != verdictNotRun && !x.route.Repeatable() {
 		return false
 	}
-	return x.attempts < x.route.MaxAttempts && x.s.dispatch.mayRetry(x.service.ID)
+	if x.attempts >= x.route.MaxAttempts {
+		return false
+	}
+	paid := x.paid
+	x.paid = false
+	return paid || x.s.dispatch.mayRetry(x.service.ID)
 }
 
 // giveUp ends a request that no attempt answered.
@@ -311,22 +318,33 @@
 	}
 }
 
-// patience returns how long an attempt may take until its first byte. Where another
-// attempt may follow, half of what is left is kept for it.
-func (x *exchange) patience() time.Duration {
-	left := x.deadline - clock.Boot()
-	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts {
-		return left / 2
-	}
-	return left
+// replaceable reports whether an attempt without an answer may be given up for
+// another.
+func (x *exchange) replaceable() bool {
+	return x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
+}
+
+// watch gives an attempt up for another when half of the time is gone and its instance
+// is silent. The retry that follows is taken from the budget before. It returns what
+// ends the watch.
+func (x *exchange) watch(placed *placement.Placed, giveUp func(error)) (stop func() bool) {
+	if !x.replaceable() {
+		return func() bool { return true }
+	}
+	half := (x.deadline - clock.Boot()) / 2
+	return time.AfterFunc(half, func() {
+		if x.s.dispatch.mayReplace(x.service.ID, placed) {
+			giveUp(errSlowAttempt)
+		}
+	}).Stop
 }
 
 // attempt sends the request to one instance and passes its answer on.
 func (x *exchange) attempt(placed *placement.Placed) (verdict, error) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	slow := time.AfterFunc(x.patience(), func() { cancel(errSlowAttempt) })
-	defer slow.Stop()
+	unwatch := x.watch(placed, cancel)
+	defer unwatch()
 	x.lastInstance = placed.Instance.ID
 	in, err := x.s.conns.Do(ctx, x.outgoing(placed.Instance))
 	if err != nil {
@@ -352,7 +370,8 @@
 		return verdictUnknown, eris.Errorf("status %d without the instance's signature", in.Status)
 	}
 	if x.route.Kind == routing.KindStream && in.Status/100 == 2 {
-		return x.relay(ctx, slow, placed, in, answer)
+		unwatch()
+		return x.relay(ctx, placed, in, answer)
 	}
 	return x.passOn(ctx, placed, in, answer)
 }
@@ -416,6 +435,8 @@
 		x.done(placed, placement.OutcomeNeutral)
 		x.logGone()
 		return verdictGone, err
+	case errors.Is(context.Cause(ctx), errSlowAttempt):
+		x.paid = true
 	case errors.Is(context.Cause(ctx), errDeadline):
 		x.done(placed, placement.OutcomeFailed)
 		return verdictTimeout, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
 )
 
 const (
@@ -31,10 +32,18 @@
 	// together. It bridges a network partition from the control group; the rest
 	// goes where the need is.
 	leasedPerMille = 600
+	// partition is the network partition from the control group that a node's own
+	// leases bridge, with a reserve for a workspace that sends more than usual.
+	partition = 16 * time.Second
 	// confirmTimeout bounds one confirmation to the ledger.
 	confirmTimeout = 3 * time.Second
 )
 
+// Caller asks other nodes of the fleet.
+type Caller interface {
+	Call(ctx context.Context, address netip.AddrPort, method wire.Method, request, response any) error
+}
+
 // Link is the way to the control group.
 type Link interface {
 	Submit(ctx context.Context, command control.Command) (control.Result, error)
@@ -48,6 +57,7 @@
 	Node       fleet.NodeID
 	DataCentre fleet.DataCentre
 	Link       Link
+	Nodes      Caller
 	Protocol   Protocol
 	// RetryRatio and RetrySlack bound the arrivals beyond the first of each
 	// request, for all nodes together in any window.
@@ -115,12 +125,14 @@
 func (s *Server) Joined() {
 	keeper := quota.New(quota.Config{
 		Pool: lease.New(lease.Config{
-			Holder: s.cfg.Link.Holder(),
-			Policy: lease.PolicyMetered,
+			Holder:    s.cfg.Link.Holder(),
+			Partition: partition,
+			Policy:    lease.PolicyMetered,
 		}),
 		Ledger:   s.cfg.Link,
 		Patience: quotaPatience,
 		Fresh:    s.cfg.Link.Fresh,
+		Peers:    lenders{server: s},
 	})
 	s.keeper.Store(keeper)
 	s.hold()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -16,12 +15,12 @@
 // relay passes a stream on as it arrives, by whole events, so that another instance
 // can go on behind the last one that was delivered. The header leaves with the first
 // event: until then a failure can still be answered, or mended elsewhere.
-func (x *exchange) relay(ctx context.Context, slow *time.Timer, placed *placement.Placed, in *backend.Incoming, answer Answer) (verdict, error) {
+func (x *exchange) relay(ctx context.Context, placed *placement.Placed, in *backend.Incoming, answer Answer) (verdict, error) {
 	events := eventReader{source: in.Body}
 	for {
 		chunk, err := events.next()
 		if len(chunk) > 0 {
-			if slow.Stop(); !x.answering {
+			if !x.answering {
 				x.s.dispatch.began(x.service.ID, placed, answer.Load)
 				x.beginStream(in)
 			}
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -100,6 +100,8 @@
 	spent fleet.Tokens
 	// wanted asks for a change although nothing was spent.
 	wanted bool
+	// foreign is what other nodes lent, which the ledger counts as spent already.
+	foreign fleet.Tokens
 }
 
 // New returns an empty pool.
@@ -158,11 +160,51 @@
 	q := p.quota(budget, now)
 	q.reserved -= reserved
 	q.free += reserved - spent
-	if p.cfg.Policy == PolicyMetered {
-		q.spent += spent
+	if p.cfg.Policy != PolicyMetered {
+		q.observe(spent, now)
 		return
 	}
-	q.observe(spent, now)
+	lent := min(spent, q.foreign)
+	q.foreign -= lent
+	q.spent += spent - lent
+	q.meter(now)
+	q.rate += float64(spent) / meteredWindow.Seconds()
+}
+
+// meter lets the average over meteredWindow decay.
+func (q *quota) meter(now time.Duration) {
+	if passed := (now - q.rateAt).Seconds(); passed > 0 {
+		q.rate *= math.Exp(-passed / meteredWindow.Seconds())
+		q.rateAt = now
+	}
+}
+
+// Lend gives a part of a metered lease to another node, half of what is free at the
+// most. The ledger hears of it as spent, so that whatever becomes of the other node
+// nothing is spent twice.
+func (p *Pool) Lend(budget fleet.BudgetID, wanted fleet.Tokens, now time.Duration) fleet.Tokens {
+	q := p.quota(budget, now)
+	lent := max(min(wanted, (q.free-q.need)/2), 0)
+	q.free -= lent
+	foreign := min(lent, q.foreign)
+	q.foreign -= foreign
+	q.spent += lent - foreign
+	return lent
+}
+
+// Borrowed takes in what another node lent.
+func (p *Pool) Borrowed(budget fleet.BudgetID, amount fleet.Tokens, now time.Duration) {
+	q := p.quota(budget, now)
+	q.free += amount
+	q.foreign += amount
+}
+
+// Wants returns how much to borrow for a request of this cost: enough for the requests
+// of the next seconds as well.
+func (p *Pool) Wants(budget fleet.BudgetID, cost fleet.Tokens, now time.Duration) fleet.Tokens {
+	q := p.quota(budget, now)
+	q.meter(now)
+	return cost + fleet.Tokens(q.rate*borrowAhead.Seconds())
 }
 
 // Refund takes back quota that was held as spent but was not billed after all.
@@ -263,8 +305,9 @@
 	return nil
 }
 
-// meteredChange reports spending and asks for the pool's part. Asking for what is
-// there anyway costs nothing beside the report.
+// meteredChange reports spending, asks for what the pool aims at and gives back what
+// it has far beyond. A report is due whenever something was spent, and asking with it
+// costs nothing.
 func (p *Pool) meteredChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
 	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
 	due := (q.spent > 0 || q.wanted) && now-q.askedAt >= askAgainAfter
@@ -275,15 +318,50 @@
 	q.wanted = false
 	change := p.change(id, q)
 	change.Need = max(q.need-q.free, 0)
-	change.Want = math.MaxInt64 / 4
+	if q.last.Seq == 0 {
+		change.Want = math.MaxInt64 / 4
+		change.HoldPerMille = max(p.holdPerMille/firstPart, 1)
+		return change
+	}
+	target := p.meteredTarget(q, now)
+	own := max(q.free-q.foreign, 0)
+	switch {
+	case q.free < target:
+		change.Want = target - q.free + change.Need
+	case q.need == 0 && own > surplusTimes*target:
+		change.Give = own - target
+		q.free -= change.Give
+	}
 	return change
 }
 
+// meteredTarget is what the pool aims to have free: what it spends while a network
+// partition lasts, and at first a part of the remainder, before there is a rate.
+func (p *Pool) meteredTarget(q *quota, now time.Duration) fleet.Tokens {
+	q.meter(now)
+	remainder := q.last.Free + q.last.LeasedElsewhere + q.free + q.reserved
+	least := remainder / 1000 * fleet.Tokens(p.holdPerMille) / firstPart
+	return max(fleet.Tokens(q.rate*p.cfg.Partition.Seconds()), least)
+}
+
+const (
+	// meteredWindow is the time over which spending from metered leases is
+	// averaged: some requests, and short beside a network partition.
+	meteredWindow = 4 * time.Second
+	// firstPart divides the part of the remainder that a pool may hold into what
+	// it holds at least.
+	firstPart = 3
+	// surplusTimes is how many times its target a pool holds before it gives back.
+	surplusTimes = 2
+	// borrowAhead is the spending for which a pool borrows at once.
+	borrowAhead = 3 * time.Second
+)
+
 func (p *Pool) answerRecall(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
 	q.recalled = false
 	change := p.change(id, q)
 	change.AnswersRecall = true
-	change.Give = max(q.free-q.need, 0)
+	change.Give = max(q.free-q.need-q.foreign, 0)
 	q.free -= change.Give
 	q.askedAt = 0
 	return change
--- a/node/site.go
+++ b/node/site.go
@@ -76,12 +76,14 @@
 		Node:       n.cfg.Settings.Node,
 		DataCentre: n.cfg.Settings.DataCentre,
 		Link:       n.link,
+		Nodes:      n.endpoint,
 		Protocol:   platform.Protocol{},
 		RetryRatio: s.RetryRatio,
 		RetrySlack: s.RetrySlack,
 		Log:        n.cfg.Log,
 	})
 	n.site.gateway = g
+	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
 	n.link.SetHandler(g)
 	n.link.SetWatcher(g)
 	n.site.reader = discovery.New(discovery.Config{
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -405,6 +405,13 @@
 	}
 }
 
+// Silent reports whether an instance has answered nothing since a request was placed
+// there.
+func (f *Forecast) Silent(p *Placed) bool {
+	s, ok := f.servers[p.Instance.ID]
+	return !ok || s.heardAt <= p.started
+}
+
 // Gone takes note that an instance is leaving or has left.
 func (f *Forecast) Gone(id fleet.BackendServerID, now time.Duration) {
 	if s, ok := f.servers[id]; ok {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -43,6 +43,14 @@
 	// Fresh, where it is set, reports whether the ledger can be reached. While it
 	// cannot, no request waits for quota that will not come.
 	Fresh func() bool
+	// Peers, where it is set, lends quota while the ledger cannot be reached.
+	Peers Peers
+}
+
+// Peers are the other nodes that hold quota.
+type Peers interface {
+	// Borrow asks them for quota and returns what they lent, which may be less.
+	Borrow(ctx context.Context, budget fleet.BudgetID, wanted fleet.Tokens) fleet.Tokens
 }
 
 // Keeper owns the node's lease pool. Its state belongs to one goroutine.
@@ -51,6 +59,8 @@
 	ledger   Ledger
 	patience time.Duration
 	fresh    func() bool
+	peers    Peers
+	loans    map[fleet.BudgetID]*loan
 	pool     *lease.Pool
 	waiting  map[fleet.BudgetID][]*waiter
 	// sending is true while a command of lease changes is under way.
@@ -71,6 +81,8 @@
 		ledger:   cfg.Ledger,
 		patience: cfg.Patience,
 		fresh:    cfg.Fresh,
+		peers:    cfg.Peers,
+		loans:    map[fleet.BudgetID]*loan{},
 		pool:     cfg.Pool,
 		waiting:  map[fleet.BudgetID][]*waiter{},
 	}
@@ -91,7 +103,7 @@
 			w.answer <- nil
 			return
 		}
-		if k.fresh != nil && !k.fresh() {
+		if k.fresh != nil && !k.fresh() && !k.borrow(budget, amount) {
 			w.answer <- &Shortage{}
 			return
 		}
@@ -109,6 +121,68 @@
 	return &Shortage{}
 }
 
+// loan is the borrowing of one budget's quota.
+type loan struct {
+	under    bool
+	failedAt time.Duration
+}
+
+// loanPause is the time after vain borrowing in which no peer is asked again: they
+// have nothing, or cannot be reached.
+const loanPause = 300 * time.Millisecond
+
+// borrow asks the peers for quota, unless that is under way. It reports whether quota
+// may come of it.
+func (k *Keeper) borrow(budget fleet.BudgetID, cost fleet.Tokens) bool {
+	if k.peers == nil {
+		return false
+	}
+	l, ok := k.loans[budget]
+	if !ok {
+		l = &loan{failedAt: -loanPause}
+		k.loans[budget] = l
+	}
+	now := clock.Boot()
+	if l.under {
+		return true
+	}
+	if now-l.failedAt < loanPause {
+		return false
+	}
+	l.under = true
+	wanted := k.pool.Wants(budget, cost, now)
+	k.Go(func() {
+		ctx, cancel := context.WithTimeout(k.Context(), k.patience)
+		defer cancel()
+		lent := k.peers.Borrow(ctx, budget, wanted)
+		k.Do(func() { k.borrowed(l, budget, lent) })
+	})
+	return true
+}
+
+// borrowed serves the waiting requests with what was lent, and refuses the others.
+func (k *Keeper) borrowed(l *loan, budget fleet.BudgetID, lent fleet.Tokens) {
+	l.under = false
+	k.pool.Borrowed(budget, lent, clock.Boot())
+	k.serveWaiters(budget)
+	waiting := k.waiting[budget]
+	if len(waiting) == 0 || k.fresh() {
+		return
+	}
+	l.failedAt = clock.Boot()
+	for _, w := range waiting {
+		w.answer <- &Shortage{}
+	}
+	k.setWaiting(budget, nil)
+}
+
+// Lend gives another node a part of what is free.
+func (k *Keeper) Lend(budget fleet.BudgetID, wanted fleet.Tokens) fleet.Tokens {
+	lent := fleet.Tokens(0)
+	k.Ask(func() { lent = k.pool.Lend(budget, wanted, clock.Boot()) })
+	return lent
+}
+
 // abandon takes out a waiter whose caller has gone, or frees what it was given in
 // the meantime.
 func (k *Keeper) abandon(budget fleet.BudgetID, w *waiter) {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -27,12 +27,15 @@
 const (
 	// silence is the time without an update after which another replica is
 	// tried. Updates come at least each second.
-	silence = 2500 * time.Millisecond
+	silence = 1800 * time.Millisecond
 	// stalePatience is how long a stale replica is kept when no other is at
-	// hand.
-	stalePatience = 2 * time.Second
+	// hand. Staleness itself takes 1.5 s to show.
+	stalePatience = 700 * time.Millisecond
 	retryPause    = 50 * time.Millisecond
 	attemptTime   = 1500 * time.Millisecond
+	// dialStagger is the wait for one replica's connection before the next is
+	// tried as well, a few round trips.
+	dialStagger = 150 * time.Millisecond
 	// submitTime is the wait for one command's answer before another control
 	// node is asked.
 	submitTime = 800 * time.Millisecond
@@ -204,8 +207,9 @@
 func (l *Link) follow() {
 	for i := 0; l.ctx.Err() == nil; i++ {
 		replicas := l.Replicas()
-		address := replicas[i%len(replicas)]
-		if err := l.subscribe(address); err != nil && l.ctx.Err() == nil {
+		first := i % len(replicas)
+		address, err := l.subscribe(append(slices.Clone(replicas[first:]), replicas[:first]...))
+		if l.ctx.Err() == nil {
 			l.cfg.Log.Warn(event.ControlLost).Str("replica", address.String()).Err(err).Msg("subscription ended")
 		}
 		l.fresh.Store(false)
@@ -216,24 +220,76 @@
 	}
 }
 
-func (l *Link) subscribe(address netip.AddrPort) error {
+// opened is a subscription's channel, or why there is none.
+type opened struct {
+	address netip.AddrPort
+	ch      *wire.Channel
+	err     error
+}
+
+// open opens a channel to one of the replicas. Each next one is tried a little later,
+// while the ones before are still under way: after a network partition or a restart
+// some do not answer, and one wait after the other would add up.
+func (l *Link) open(ctx context.Context, replicas []netip.AddrPort) opened {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	results := make(chan opened, len(replicas))
+	for i, address := range replicas {
+		l.wait.Go(func() {
+			select {
+			case <-time.After(time.Duration(i) * dialStagger):
+			case <-ctx.Done():
+				results <- opened{
+					address: address,
+					err:     ctx.Err(),
+				}
+				return
+			}
+			ch, err := l.cfg.Endpoint.Open(ctx, address, control.MethodSubscribe)
+			results <- opened{
+				address: address,
+				ch:      ch,
+				err:     err,
+			}
+		})
+	}
+	last := opened{}
+	for n := range replicas {
+		last = <-results
+		if last.err != nil {
+			continue
+		}
+		cancel()
+		l.wait.Go(func() {
+			for range len(replicas) - n - 1 {
+				if late := <-results; late.err == nil {
+					late.ch.Close()
+				}
+			}
+		})
+		return last
+	}
+	cancel()
+	return last
+}
+
+// subscribe follows the first of the replicas that can be reached, and returns which
+// that was and why it ended.
+func (l *Link) subscribe(replicas []netip.AddrPort) (netip.AddrPort, error) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
-	dialCtx, dialCancel := context.WithTimeout(ctx, attemptTime)
-	ch, err := l.cfg.Endpoint.Open(dialCtx, address, control.MethodSubscribe)
-	dialCancel()
-	if err != nil {
-		return err
+	to := l.open(ctx, replicas)
+	if to.err != nil {
+		return to.address, to.err
 	}
-	defer ch.Close()
+	defer to.ch.Close()
 	heartbeats := sync.WaitGroup{}
 	heartbeats.Go(func() {
-		l.sendHeartbeats(ctx, ch)
-		ch.Close()
+		l.sendHeartbeats(ctx, to.ch)
+		to.ch.Close()
 	})
 	defer heartbeats.Wait()
 	defer cancel()
-	return l.receiveUpdates(address, ch)
+	return to.address, l.receiveUpdates(to.address, to.ch)
 }
 
 func (l *Link) sendHeartbeats(ctx context.Context, ch *wire.Channel) {
