Metered leases have bounds that rise with time; a killed node forfeits what it can have spent

Each change now names a limit and a slope on the VM's boot clock, and the next life's start bounds what the one before can have spent. Recovery is faster by an election timeout of 600 ms. A caller refused for quota returns at once, to another node. Power loss still forfeits all: the boot clock starts anew.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,6 +2,8 @@
 package clock
 
 import (
+	"os"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -24,3 +26,13 @@
 func Wall() fleet.UnixMillis {
 	return fleet.Millis(time.Now())
 }
+
+// BootID names the present run of the machine's kernel, or is empty where the kernel
+// does not say.
+func BootID() string {
+	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
+}
--- a/control/command.go
+++ b/control/command.go
@@ -46,6 +46,8 @@
 	Finished *ledger.SettleResult  `json:"finished,omitempty"`
 	// Incarnation is the number of the life that joined.
 	Incarnation fleet.Incarnation `json:"incarnation,omitempty"`
+	// forfeit is for the leader's log.
+	forfeit ledger.Forfeit
 	// Configured is the version in force after a Configure.
 	Configured routing.Version `json:"configured,omitempty"`
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -77,7 +77,7 @@
 		return
 	}
 	result.Joined = true
-	result.Incarnation = m.ledger.JoinLife(join)
+	result.Incarnation, result.forfeit = m.ledger.JoinLife(join)
 }
 
 // configure puts a configuration in force, unless one of the same or a higher
--- a/control/replica.go
+++ b/control/replica.go
@@ -24,9 +24,9 @@
 const (
 	// ElectionTimeout is the silence of a leader after which another may be
 	// elected.
-	ElectionTimeout = time.Second
+	ElectionTimeout = 600 * time.Millisecond
 	// heartbeatInterval is the time between a leader's messages.
-	heartbeatInterval = 150 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	announceInterval  = 500 * time.Millisecond
 	// freshWithin is how old a replica's last word from its leader may be for
--- a/control/submit.go
+++ b/control/submit.go
@@ -8,6 +8,7 @@
 
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -31,6 +32,7 @@
 		all.routing = all.routing || effect.routing
 		all.ending = all.ending || effect.ending
 		all.recalls = append(all.recalls, effect.recalls...)
+		r.logApplied(command, result)
 		r.answer(entry, result)
 	}
 	if all.any() {
@@ -38,6 +40,28 @@
 	}
 }
 
+// logApplied writes what a command decided, on the leader alone.
+func (r *Replica) logApplied(command Command, result Result) {
+	if !r.core.IsLeader() {
+		return
+	}
+	if command.Join != nil {
+		r.cfg.Log.Info(event.LifeJoined).
+			Str("holder", string(command.Join.Holder.Node)).
+			Uint64("incarnation", uint64(result.Incarnation)).
+			Bool("joined", result.Joined).
+			Int64("forfeitedTokens", int64(result.forfeit.Spent)).
+			Int64("returnedTokens", int64(result.forfeit.Returned)).
+			Msg("a node's life joined; the leases of the one before have ended")
+	}
+	if command.Configure != nil {
+		r.cfg.Log.Info(event.ConfigReplaced).
+			Uint64("version", uint64(command.Configure.Config.Version)).
+			Uint64("inForce", uint64(result.Configured)).
+			Msg("a configuration was committed")
+	}
+}
+
 func (r *Replica) answer(entry consensus.Entry, result Result) {
 	w, ok := r.waiting[entry.Index]
 	if !ok {
--- a/event/event.go
+++ b/event/event.go
@@ -34,6 +34,7 @@
 	MemberPromoted    ID = 209
 	MemberRemoved     ID = 210
 	ContactsNotStored ID = 211
+	LifeJoined        ID = 212
 
 	ControlConnected ID = 301
 	ControlLost      ID = 302
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -49,6 +50,8 @@
 	arrived  time.Duration
 	deadline time.Duration
 	reserved fleet.Tokens
+	// short tells why there was no quota.
+	short *quota.Shortage
 	// mayHaveRun is set once an instance may have begun the work, prompted once
 	// its prompt was certainly or possibly read.
 	mayHaveRun bool
@@ -214,10 +217,12 @@
 	}
 	cost := x.request.MaxCost()
 	short := keeper.Reserve(x.ctx, fleet.BudgetID(x.owner.ID), cost)
-	switch {
-	case short == nil:
+	if short == nil {
 		x.reserved = cost
 		return true
+	}
+	x.short = short
+	switch {
 	case x.r.Context().Err() != nil:
 		x.logGone()
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,13 +28,14 @@
 	// quotaPatience is how long a request waits for quota: a recall takes two
 	// round trips and two syncs.
 	quotaPatience = 350 * time.Millisecond
-	// leasedPerMille is the part of each prepaid remainder that all nodes hold
+	// leasedPerMille is the part of each prepaid remainder that all nodes may hold
 	// together. It bridges a network partition from the control group; the rest
-	// goes where the need is.
-	leasedPerMille = 600
+	// goes where the need is. Nodes lend to one another, so that little needs to
+	// stay behind.
+	leasedPerMille = 550
 	// partition is the network partition from the control group that a node's own
 	// leases bridge, with a reserve for a workspace that sends more than usual.
-	partition = 16 * time.Second
+	partition = 12 * time.Second
 	// confirmTimeout bounds one confirmation to the ledger.
 	confirmTimeout = 3 * time.Second
 )
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -63,6 +63,9 @@
 const (
 	// retryBusy is about the time in which a full instance frees a place.
 	retryBusy = 400 * time.Millisecond
+	// retryElsewhere sends the caller to another node at once: quota that this
+	// one lacks another may have.
+	retryElsewhere = 60 * time.Millisecond
 	// retryAbsent is about the time in which the list of instances, a
 	// configuration or quota changes.
 	retryAbsent = 1200 * time.Millisecond
@@ -73,8 +76,11 @@
 
 func retryAfter(cause Cause) time.Duration {
 	base := retryAbsent
-	if cause == CauseInstanceBusy || cause == CauseUnreachable {
+	switch cause {
+	case CauseInstanceBusy, CauseUnreachable:
 		base = retryBusy
+	case CauseNoQuota:
+		base = retryElsewhere
 	}
 	return base + time.Duration(rand.Float64()*retrySpread*float64(base))
 }
@@ -180,6 +186,12 @@
 	if x.cause != CauseNone && x.cause != CauseCallerGone {
 		line = x.s.cfg.Log.Warn(id)
 	}
+	if x.short != nil {
+		line = line.Bool("ledgerAnswered", x.short.Answered).
+			Bool("recalling", x.short.Last.Recalling).
+			Int64("budgetFreeTokens", int64(x.short.Last.Free)).
+			Int64("leasedElsewhereTokens", int64(x.short.Last.LeasedElsewhere))
+	}
 	line.Str("request", string(x.request.ID)).
 		Str("route", route).
 		Str("workspace", workspace).
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -102,6 +102,23 @@
 	wanted bool
 	// foreign is what other nodes lent, which the ledger counts as spent already.
 	foreign fleet.Tokens
+	// used is all that was ever reserved or spent. It stays below the bound that
+	// the ledger has acknowledged and, where a change is pending, below its bound
+	// as well: the ledger may know either.
+	used         fleet.Tokens
+	bound        bound
+	pendingBound *bound
+}
+
+// bound is a limit to the use of a metered lease that rises with time.
+type bound struct {
+	level fleet.Tokens
+	slope fleet.Tokens // a second
+	at    time.Duration
+}
+
+func (b bound) allows(used fleet.Tokens, now time.Duration) bool {
+	return used <= b.level+fleet.Tokens(float64(b.slope)*(now-b.at).Seconds())
 }
 
 // New returns an empty pool.
@@ -130,14 +147,24 @@
 func (p *Pool) Reserve(budget fleet.BudgetID, amount fleet.Tokens, now time.Duration) bool {
 	q := p.quota(budget, now)
 	q.usedAt = now
-	if q.free < amount {
+	if q.free < amount || p.limited(q, amount, now) {
 		return false
 	}
 	q.free -= amount
 	q.reserved += amount
+	q.used += amount
 	return true
 }
 
+// limited reports whether an amount would pass the bound that the ledger knows of.
+func (p *Pool) limited(q *quota, amount fleet.Tokens, now time.Duration) bool {
+	if p.cfg.Policy != PolicyMetered {
+		return false
+	}
+	used := q.used + amount
+	return !q.bound.allows(used, now) || q.pendingBound != nil && !q.pendingBound.allows(used, now)
+}
+
 // Hold sets the part of a metered budget's remainder that the pool keeps, and asks
 // for it for each of the budgets at once: a network partition may come before their
 // first request.
@@ -160,6 +187,7 @@
 	q := p.quota(budget, now)
 	q.reserved -= reserved
 	q.free += reserved - spent
+	q.used -= reserved - spent
 	if p.cfg.Policy != PolicyMetered {
 		q.observe(spent, now)
 		return
@@ -185,7 +213,11 @@
 func (p *Pool) Lend(budget fleet.BudgetID, wanted fleet.Tokens, now time.Duration) fleet.Tokens {
 	q := p.quota(budget, now)
 	lent := max(min(wanted, (q.free-q.need)/2), 0)
+	for lent > 0 && p.limited(q, lent, now) {
+		lent /= 2
+	}
 	q.free -= lent
+	q.used += lent
 	foreign := min(lent, q.foreign)
 	q.foreign -= foreign
 	q.spent += lent - foreign
@@ -197,6 +229,10 @@
 	q := p.quota(budget, now)
 	q.free += amount
 	q.foreign += amount
+	q.bound.level += amount
+	if q.pendingBound != nil {
+		q.pendingBound.level += amount
+	}
 }
 
 // Wants returns how much to borrow for a request of this cost: enough for the requests
@@ -280,7 +316,7 @@
 // leaves the pool at once: it must not be spent once the change may be under way.
 func (p *Pool) nextChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
 	if q.recalled {
-		return p.answerRecall(id, q)
+		return p.answerRecall(id, q, now)
 	}
 	if p.cfg.Policy == PolicyMetered {
 		return p.meteredChange(id, q, now)
@@ -310,13 +346,15 @@
 // costs nothing.
 func (p *Pool) meteredChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
 	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
-	due := (q.spent > 0 || q.wanted) && now-q.askedAt >= askAgainAfter
-	if !short && !due {
+	limited := q.need > 0 && p.limited(q, q.need, now)
+	due := (q.spent > 0 || q.wanted || now-q.usedAt < reportFor) && now-q.askedAt >= reportInterval
+	if !short && !limited && !due {
 		return nil
 	}
 	q.askedAt = now
 	q.wanted = false
 	change := p.change(id, q)
+	p.limit(q, change, now)
 	change.Need = max(q.need-q.free, 0)
 	if q.last.Seq == 0 {
 		change.Want = math.MaxInt64 / 4
@@ -335,12 +373,31 @@
 	return change
 }
 
+// limit names how far the use may rise. The less the room, the less is lost with a
+// killed process, and the sooner a workspace that sends more than usual must wait for
+// the next change.
+func (p *Pool) limit(q *quota, change *ledger.LeaseChange, now time.Duration) {
+	q.meter(now)
+	q.pendingBound = &bound{
+		level: q.used + max(fleet.Tokens(q.rate*roomTime.Seconds()), q.need),
+		slope: fleet.Tokens(max(q.rate*slopeTimes, float64(q.free)/slopeTime.Seconds())),
+		at:    now,
+	}
+	change.Limit = q.pendingBound.level - q.used + q.reserved
+	change.Slope = q.pendingBound.slope
+	change.At = now
+}
+
+// remainder is about what the budget has left.
+func (p *Pool) remainder(q *quota) fleet.Tokens {
+	return q.last.Free + q.last.LeasedElsewhere + q.free + q.reserved
+}
+
 // meteredTarget is what the pool aims to have free: what it spends while a network
 // partition lasts, and at first a part of the remainder, before there is a rate.
 func (p *Pool) meteredTarget(q *quota, now time.Duration) fleet.Tokens {
 	q.meter(now)
-	remainder := q.last.Free + q.last.LeasedElsewhere + q.free + q.reserved
-	least := remainder / 1000 * fleet.Tokens(p.holdPerMille) / firstPart
+	least := p.remainder(q) / 1000 * fleet.Tokens(p.holdPerMille) / firstPart
 	return max(fleet.Tokens(q.rate*p.cfg.Partition.Seconds()), least)
 }
 
@@ -351,15 +408,29 @@
 	// firstPart divides the part of the remainder that a pool may hold into what
 	// it holds at least.
 	firstPart = 3
+	// roomTime is the spending that a bound leaves room for at once, and
+	// slopeTimes how much faster than the spending it rises.
+	roomTime   = time.Second
+	slopeTimes = 1.5
+	// slopeTime is the time in which a bound lets at least all that is free be used.
+	slopeTime = 10 * time.Second
+	// reportInterval is the time between the changes of a budget in use, and
+	// reportFor how long it counts as in use after a request. A lease whose last
+	// change is old counts as spent when its holder dies.
+	reportInterval = 250 * time.Millisecond
+	reportFor      = 10 * time.Second
 	// surplusTimes is how many times its target a pool holds before it gives back.
 	surplusTimes = 2
 	// borrowAhead is the spending for which a pool borrows at once.
 	borrowAhead = 3 * time.Second
 )
 
-func (p *Pool) answerRecall(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
+func (p *Pool) answerRecall(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
 	q.recalled = false
 	change := p.change(id, q)
+	if p.cfg.Policy == PolicyMetered {
+		p.limit(q, change, now)
+	}
 	change.AnswersRecall = true
 	change.Give = max(q.free-q.need-q.foreign, 0)
 	q.free -= change.Give
@@ -390,6 +461,10 @@
 	}
 	q.pending = nil
 	q.free += result.Granted
+	if q.pendingBound != nil {
+		q.bound = *q.pendingBound
+		q.pendingBound = nil
+	}
 	q.last = result
 	return true
 }
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"time"
+
 	"github.com/waxwingreel/waxwingreel/fleet"
 )
 
@@ -16,6 +18,11 @@
 	// by: the time of day jumps, and a node without a disk remembers nothing.
 	// The ledger then numbers the life itself.
 	Life uint64 `json:"life,omitempty"`
+	// Boot names the run of the VM's kernel and Started is the time since it
+	// began, when this life started. Together they tell how long before that the
+	// last life can have ended.
+	Boot    string        `json:"boot,omitempty"`
+	Started time.Duration `json:"started,omitempty"`
 }
 
 // LeaseChange moves quota between a budget and a holder. The holder numbers its
@@ -44,6 +51,12 @@
 	// HoldPerMille, where it is not 0, bounds what the holder has in all,
 	// beyond Need, as a part of what the budget has left to spend.
 	HoldPerMille int64 `json:"holdPerMille,omitempty"`
+	// Limit bounds what the holder spends of a metered lease after this change,
+	// until a later one is acknowledged: at the time At, and Slope tokens more
+	// with each second after it, on the clock of the VM's kernel.
+	Limit fleet.Tokens  `json:"limit,omitempty"`
+	Slope fleet.Tokens  `json:"slope,omitempty"`
+	At    time.Duration `json:"at,omitempty"`
 }
 
 // LeaseResult answers a LeaseChange.
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -30,20 +31,72 @@
 }
 
 // JoinLife registers a node's new life under a number of the ledger's choice, which
-// it returns. A repeated command gets the same number.
-func (s *State) JoinLife(join Join) fleet.Incarnation {
+// it returns, with what became of the metered leases of the life before. A repeated
+// command gets the same number.
+func (s *State) JoinLife(join Join) (fleet.Incarnation, Forfeit) {
 	node := join.Holder.Node
 	last, known := s.holders[node]
-	if known && s.lives[node] == join.Life {
-		return last
+	before := s.lives[node]
+	if known && before.id == join.Life {
+		return last, Forfeit{}
+	}
+	forfeit := Forfeit{}
+	if known && before.boot == join.Boot && join.Boot != "" {
+		forfeit = s.forfeitLimits(fleet.Holder{
+			Node:        node,
+			Incarnation: last,
+		}, join.Started)
+	}
+	s.lives[node] = life{
+		id:   join.Life,
+		boot: join.Boot,
 	}
-	s.lives[node] = join.Life
 	holder := fleet.Holder{
 		Node:        node,
 		Incarnation: max(join.Holder.Incarnation, last+1),
 	}
+	if known {
+		forfeit.Spent += s.forfeit(fleet.Holder{
+			Node:        node,
+			Incarnation: last,
+		})
+	}
 	s.Join(holder)
-	return holder.Incarnation
+	return holder.Incarnation, forfeit
+}
+
+// Forfeit tells what became of the metered leases of a life that ended without giving
+// them back: what counts as spent, because it may have been, and what came back.
+type Forfeit struct {
+	Spent    fleet.Tokens
+	Returned fleet.Tokens
+}
+
+// forfeitLimits ends the metered leases of a life that is known to have ended before
+// started, on the clock of its VM.
+//
+// A holder spends within the limit that it named with its latest change, which rises
+// with time. So what the limit had risen to when the next life began is all that can
+// have been spent, and the rest comes back. For example, a holder with 90,000 tokens
+// names a limit of 5,000 at 41.2 s that rises by 3,000 a second, is killed, and starts
+// again at 43.2 s: 11,000 count as spent and 79,000 come back. Without a limit all
+// 90,000 would, since the last report of a killed process is always missing.
+func (s *State) forfeitLimits(ended fleet.Holder, started time.Duration) Forfeit {
+	f := Forfeit{}
+	for _, a := range s.accounts {
+		l, ok := a.leases[ended]
+		if !ok || !a.metered || started < l.at {
+			continue
+		}
+		risen := fleet.Tokens(float64(l.slope) * (started - l.at).Seconds())
+		spent := min(l.limit+risen, l.outstanding)
+		a.spend(l, spent)
+		f.Spent += spent
+		f.Returned += l.outstanding
+		a.leased -= l.outstanding
+		delete(a.leases, ended)
+	}
+	return f
 }
 
 // Remove takes note that a node is destroyed and will never run again.
@@ -81,15 +134,18 @@
 
 // forfeit counts what an ended holder had of metered budgets as spent. It may have
 // been: the holder's last report is lost.
-func (s *State) forfeit(ended fleet.Holder) {
+func (s *State) forfeit(ended fleet.Holder) fleet.Tokens {
+	spent := fleet.Tokens(0)
 	for _, a := range s.accounts {
 		l, ok := a.leases[ended]
 		if !ok || !a.metered {
 			continue
 		}
+		spent += l.outstanding
 		a.spend(l, l.outstanding)
 		delete(a.leases, ended)
 	}
+	return spent
 }
 
 // Confirm takes a node's word that it holds no settlement of an ended holder.
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -1,8 +1,8 @@
 package ledger
 
 import (
-	"maps"
 	"sort"
+	"time"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
 )
@@ -17,7 +17,13 @@
 	Settlements []SettlementImage `json:"settlements"`
 	Calls       []CallImage       `json:"calls"`
 	// Lives holds the lives that the ledger numbered itself.
-	Lives map[fleet.NodeID]uint64 `json:"lives,omitempty"`
+	Lives map[fleet.NodeID]LifeImage `json:"lives,omitempty"`
+}
+
+// LifeImage is a life that the ledger numbered, in an Image.
+type LifeImage struct {
+	Life uint64 `json:"life"`
+	Boot string `json:"boot,omitempty"`
 }
 
 // AccountImage is one budget in an Image.
@@ -40,6 +46,9 @@
 	Last        LeaseResult      `json:"last"`
 	Recalling   bool             `json:"recalling"`
 	AnsweredAt  fleet.UnixMillis `json:"answeredAt"`
+	Limit       fleet.Tokens     `json:"limit,omitempty"`
+	Slope       fleet.Tokens     `json:"slope,omitempty"`
+	At          time.Duration    `json:"at,omitempty"`
 }
 
 // EndingImage is one ended holder in an Image.
@@ -74,7 +83,13 @@
 	image := Image{
 		Now:      s.now,
 		Unbacked: s.unbacked,
-		Lives:    maps.Clone(s.lives),
+		Lives:    map[fleet.NodeID]LifeImage{},
+	}
+	for node, l := range s.lives {
+		image.Lives[node] = LifeImage{
+			Life: l.id,
+			Boot: l.boot,
+		}
 	}
 	for id, a := range s.accounts {
 		image.Accounts = append(image.Accounts, a.image(id))
@@ -124,6 +139,9 @@
 			Last:        l.last,
 			Recalling:   l.recalling,
 			AnsweredAt:  l.answeredAt,
+			Limit:       l.limit,
+			Slope:       l.slope,
+			At:          l.at,
 		})
 	}
 	sort.Slice(image.Leases, func(i, j int) bool {
@@ -162,7 +180,12 @@
 	s := New()
 	s.now = image.Now
 	s.unbacked = image.Unbacked
-	maps.Copy(s.lives, image.Lives)
+	for node, l := range image.Lives {
+		s.lives[node] = life{
+			id:   l.Life,
+			boot: l.Boot,
+		}
+	}
 	for _, a := range image.Accounts {
 		s.accounts[a.ID] = accountFromImage(a)
 	}
@@ -207,6 +230,9 @@
 			last:        l.Last,
 			recalling:   l.Recalling,
 			answeredAt:  l.AnsweredAt,
+			limit:       l.Limit,
+			slope:       l.Slope,
+			at:          l.At,
 		}
 		a.leased += l.Outstanding
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -54,7 +54,7 @@
 type State struct {
 	accounts    map[fleet.BudgetID]*account
 	holders     map[fleet.NodeID]fleet.Incarnation
-	lives       map[fleet.NodeID]uint64
+	lives       map[fleet.NodeID]life
 	ending      map[fleet.Holder]map[fleet.NodeID]bool
 	settlements map[billKey]billed
 	calls       map[RequestKey]*call
@@ -66,6 +66,12 @@
 	now          fleet.UnixMillis
 }
 
+// life is a life that the ledger numbered.
+type life struct {
+	id   uint64
+	boot string
+}
+
 type account struct {
 	prepaid fleet.Tokens
 	settled fleet.Tokens
@@ -85,6 +91,10 @@
 	last        LeaseResult
 	recalling   bool
 	answeredAt  fleet.UnixMillis
+	// limit, slope and at are those of the latest change.
+	limit fleet.Tokens
+	slope fleet.Tokens
+	at    time.Duration
 }
 
 // billKey identifies a bill in 16 bytes, since there are many of them.
@@ -125,7 +135,7 @@
 	return &State{
 		accounts:    map[fleet.BudgetID]*account{},
 		holders:     map[fleet.NodeID]fleet.Incarnation{},
-		lives:       map[fleet.NodeID]uint64{},
+		lives:       map[fleet.NodeID]life{},
 		ending:      map[fleet.Holder]map[fleet.NodeID]bool{},
 		settlements: map[billKey]billed{},
 		calls:       map[RequestKey]*call{},
@@ -211,6 +221,9 @@
 	a.leased -= give
 	if a.metered {
 		a.spend(l, c.Spent)
+		l.limit = c.Limit
+		l.slope = c.Slope
+		l.at = c.At
 	}
 	if c.AnswersRecall {
 		l.recalling = false
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,8 @@
 		return nil, err
 	}
 	cfg.Log.Info(event.NodeStarted).
+		Str("boot", clock.BootID()).
+		Int64("bootMillis", n.started.Milliseconds()).
 		Str("dataCentre", string(cfg.Settings.DataCentre)).
 		Str("version", cfg.Version).
 		Uint64("incarnation", uint64(n.holder.Incarnation)).
@@ -208,6 +210,8 @@
 	case n.cfg.Settings.Site != nil:
 		cfg.Replicas = siteReplicas(n.cfg.Settings)
 		cfg.Life = rand.Uint64() | 1
+		cfg.Boot = clock.BootID()
+		cfg.Started = n.started
 	case n.folder != nil:
 		cfg.Store = &viewStore{disk: n.folder}
 		fallthrough
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -75,7 +75,10 @@
 	Holder fleet.Holder
 	// Life is random and not 0 where the ledger is to number this life of the
 	// node.
-	Life     uint64
+	Life uint64
+	// Boot and Started tell the ledger when this life began, on the VM's clock.
+	Boot     string
+	Started  time.Duration
 	Endpoint *wire.Endpoint
 	// Replicas are the addresses of the control nodes, nearest first.
 	Replicas []netip.AddrPort
@@ -576,8 +579,10 @@
 func (l *Link) Join(ctx context.Context) error {
 	holder := l.Holder()
 	result, err := l.Submit(ctx, control.Command{Join: &ledger.Join{
-		Holder: holder,
-		Life:   l.cfg.Life,
+		Holder:  holder,
+		Life:    l.cfg.Life,
+		Boot:    l.cfg.Boot,
+		Started: l.cfg.Started,
 	}})
 	if err != nil {
 		return err
