--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -143,14 +143,17 @@
 }
 
 // pick chooses an instance. The first choice for a request counts it towards the
-// retry budget. It also returns the age of the list of instances.
-func (d *dispatcher) pick(service fleet.ServiceID, r placement.ForecastRequest, first bool) (placed placement.Placed, listAge time.Duration, ok bool) {
+// retry budget. It also returns the age of the list of instances. What was placed is
+// changed by the dispatcher's goroutine; others read only its exported fields.
+func (d *dispatcher) pick(service fleet.ServiceID, r placement.ForecastRequest, first bool) (placed *placement.Placed, listAge time.Duration, ok bool) {
 	d.Ask(func() {
 		now := clock.Boot()
 		if first {
 			d.budget(service).Request()
 		}
-		placed, ok = d.forecast(service).Pick(r, now)
+		var p placement.Placed
+		p, ok = d.forecast(service).Pick(r, now)
+		placed = &p
 		listAge = now - d.listedAt
 	})
 	return placed, listAge, ok
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -268,7 +268,7 @@
 			return
 		}
 		x.logPlaced(placed, listAge)
-		outcome, err := x.attempt(&placed)
+		outcome, err := x.attempt(placed)
 		if outcome == verdictAnswered || outcome == verdictGone {
 			return
 		}
--- /dev/null
+++ b/gateway/exchange_test.go
@@ -0,0 +1,346 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/gateway"
+	"github.com/waxwingreel/waxwingreel/platform"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+var targets = []routing.Target{{
+	Service: "s",
+	Weight:  1,
+}}
+
+// noLink is a link to a control group that cannot be reached.
+type noLink struct{}
+
+func (noLink) Submit(ctx context.Context, _ control.Command) (control.Result, error) {
+	<-ctx.Done()
+	return control.Result{}, ctx.Err()
+}
+
+func (noLink) Holder() fleet.Holder    { return fleet.Holder{Node: "n1"} }
+func (noLink) Fresh() bool             { return false }
+func (noLink) Roster() []roster.Report { return nil }
+
+// instances are stand-ins of a service's instances. Each arrival, at whichever of
+// them, behaves as the next word of a script says.
+type instances struct {
+	t        *testing.T
+	mu       sync.Mutex
+	script   []string
+	arrivals int
+	after    []string
+	list     []routing.Instance
+}
+
+func newInstances(t *testing.T, script string) *instances {
+	in := &instances{
+		t:      t,
+		script: strings.Fields(script),
+	}
+	for i := range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		id := fleet.BackendServerID("i" + strconv.Itoa(i))
+		in.list = append(in.list, routing.Instance{
+			ID:      id,
+			Service: "s",
+			Address: listener.Addr().(*net.TCPAddr).AddrPort(),
+			Slots:   4,
+		})
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go in.serve(conn)
+			}
+		}()
+	}
+	return in
+}
+
+func (in *instances) next(r *http.Request) string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.after = append(in.after, r.Header.Get("Last-Event-Id"))
+	word := "ok"
+	if in.arrivals < len(in.script) {
+		word = in.script[in.arrivals]
+	}
+	in.arrivals++
+	return word
+}
+
+func (in *instances) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !in.behave(conn, request, in.next(request)) {
+			return
+		}
+	}
+}
+
+// behave answers one request and reports whether the connection goes on.
+func (in *instances) behave(conn net.Conn, r *http.Request, word string) bool {
+	id := "Attempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nInstance-Signature: signed\r\n"
+	send := func(text string) { _, _ = io.WriteString(conn, text) }
+	switch word {
+	case "ok":
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
+	case "refuse":
+		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case "other":
+		send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+	case "fail":
+		send("HTTP/1.1 500 Internal Server Error\r\n" + id + "Content-Length: 4\r\n\r\nfail")
+	case "unsigned":
+		send("HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nContent-Length: 4\r\n\r\ndone")
+	case "truncate":
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndo")
+		return false
+	case "reset":
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	case "foreign":
+		send("HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nInstance-Signature: signed\r\nContent-Length: 5\r\n\r\nother")
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
+	case "garbage":
+		send("not an answer\r\n\r\n")
+		return false
+	case "silent":
+		time.Sleep(time.Second)
+		return false
+	case "stream", "break", "start":
+		return in.stream(conn, r, id, word)
+	default:
+		in.t.Errorf("the script has an unknown word %q", word)
+	}
+	return true
+}
+
+// stream sends the events 1 to 4 that follow the caller's last, whole or up to the
+// middle of event 3, or only the header.
+func (in *instances) stream(conn net.Conn, r *http.Request, id, word string) bool {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	if word == "start" {
+		return false
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := first + 1; i <= 4; i++ {
+		text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		if word == "break" && i == 3 {
+			text = text[:8]
+		}
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		if word == "break" && i == 3 {
+			return false
+		}
+	}
+	_, _ = io.WriteString(conn, "0\r\n\r\n")
+	return true
+}
+
+func newServer(t *testing.T, route routing.Route, in *instances) *httptest.Server {
+	s := gateway.New(gateway.Config{
+		Node:       "n1",
+		Link:       noLink{},
+		Protocol:   platform.Protocol{},
+		RetryRatio: 0.2,
+		RetrySlack: 20,
+		Log:        event.New(io.Discard, "n1"),
+	})
+	s.Configured(routing.NewView(routing.Config{
+		Version:  1,
+		Routes:   []routing.Route{route},
+		Services: []routing.Service{{ID: "s"}},
+	}))
+	s.Read(in.list)
+	server := httptest.NewServer(s)
+	t.Cleanup(func() {
+		server.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Close(ctx)
+	})
+	return server
+}
+
+// TestExchange plays testdata/exchange.txt: "name | kind of route | most attempts | what
+// the arrivals meet | status | body, or cut for a connection that is closed | arrivals".
+func TestExchange(t *testing.T) {
+	text, err := os.ReadFile("testdata/exchange.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Split(strings.TrimSpace(line), " | ")
+		if len(fields) != 7 {
+			continue
+		}
+		t.Run(fields[0], func(t *testing.T) { playExchange(t, fields) })
+	}
+}
+
+func playExchange(t *testing.T, fields []string) {
+	attempts, err := strconv.Atoi(fields[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	route := routing.Route{
+		Name:        "r",
+		Host:        "127.0.0.1",
+		Prefix:      "/",
+		Kind:        routing.Kind(strings.TrimSuffix(fields[1], "+")),
+		Resumable:   strings.HasSuffix(fields[1], "+"),
+		Timeout:     300 * time.Millisecond,
+		Targets:     targets,
+		MaxAttempts: attempts,
+	}
+	in := newInstances(t, fields[3])
+	server := newServer(t, route, in)
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/x", strings.NewReader("work"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Attempt-Id", "id1")
+	started := time.Now()
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	if err != nil {
+		t.Fatalf("got no answer: %v", err)
+	}
+	body, bodyErr := io.ReadAll(response.Body)
+	if took := time.Since(started); took > 600*time.Millisecond {
+		t.Errorf("got the answer after %v, want it at the route's timeout of 300ms at the latest", took)
+	}
+	if got, want := strconv.Itoa(response.StatusCode), fields[4]; got != want {
+		t.Errorf("got status %s, want %s", got, want)
+	}
+	got := strings.ReplaceAll(string(body), "\n", "~")
+	if bodyErr != nil {
+		got = "cut"
+	}
+	if want := fields[5]; want != "" && got != want {
+		t.Errorf("got body %q, want %q", got, want)
+	}
+	if refused := response.StatusCode == http.StatusServiceUnavailable; refused != (response.Header.Get("Retry-After") != "") {
+		t.Errorf("got status %d with Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if got, want := strconv.Itoa(in.arrivals), fields[6]; got != want {
+		t.Errorf("got %s arrivals, want %s", got, want)
+	}
+}
+
+func TestNothingRunsWithoutAnInstance(t *testing.T) {
+	in := newInstances(t, "")
+	for i := range in.list {
+		// A port without a listener.
+		in.list[i].Address = netip.MustParseAddrPort("127.0.0.1:9")
+	}
+	server := newServer(t, routing.Route{
+		Name:        "r",
+		Host:        "127.0.0.1",
+		Prefix:      "/",
+		Kind:        routing.KindOnce,
+		Timeout:     time.Second,
+		Targets:     targets,
+		MaxAttempts: 1,
+	}, in)
+	response, err := http.Post(server.URL+"/x", "text/plain", strings.NewReader("work"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d: nothing was sent", got, want)
+	}
+}
+
+// TestCallerWhoLeavesFreesTheInstance closes a caller's connection and waits for the
+// instance to see its own closed.
+func TestCallerWhoLeavesFreesTheInstance(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	arrived, freed := make(chan struct{}), make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		close(arrived)
+		_, _ = io.Copy(io.Discard, reader)
+		close(freed)
+	}()
+	in := &instances{list: []routing.Instance{{
+		ID:      "i0",
+		Service: "s",
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(),
+		Slots:   4,
+	}}}
+	server := newServer(t, routing.Route{
+		Name:        "r",
+		Host:        "127.0.0.1",
+		Prefix:      "/",
+		Kind:        routing.KindStream,
+		Timeout:     10 * time.Second,
+		Targets:     targets,
+		MaxAttempts: 1,
+	}, in)
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	<-arrived
+	leave()
+	select {
+	case <-freed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the instance was still busy 500ms after its caller had left")
+	}
+}
