--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, page := range []string{"API.md", "OPERATING.md"} {
+	for _, page := range []string{"API.md", "OPERATIONS.md"} {
 		text, err := os.ReadFile(filepath.Join("..", "docs", page))
 		if err != nil {
 			t.Fatal(err)
--- a/event/event.go
+++ b/event/event.go
@@ -59,9 +59,7 @@
 	AttemptFailed  ID = 408
 	LinesDropped   ID = 409
 
-	StreamResumed   ID = 503
-	ServerSuspected ID = 504
-	ServerTrusted   ID = 505
+	StreamResumed ID = 503
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/settings/check.go
+++ b/settings/check.go
@@ -77,7 +77,7 @@
 	}
 	if found := unknownField.FindStringSubmatch(err.Error()); found != nil {
 		pointer := pointerOf(s.root, "", found[1])
-		return s.problem(pointer, "is no known field", "see docs/OPERATING.md for the fields; names are camelCase")
+		return s.problem(pointer, "is no known field", "see docs/OPERATIONS.md for the fields; names are camelCase")
 	}
 	return s.problem("", err.Error(), "")
 }
