--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -226,7 +226,7 @@
 	case x.r.Context().Err() != nil:
 		x.logGone()
 		return false
-	case short.Answered && !short.Last.Recalling && !short.Last.Unknown:
+	case short.Spent && !short.Last.Unknown:
 		x.reject(http.StatusPaymentRequired, CauseBudgetSpent)
 		return false
 	}
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -478,6 +478,15 @@
 	return q.last
 }
 
+// Lacks returns how much more quota a request of this cost needs.
+func (p *Pool) Lacks(budget fleet.BudgetID, cost fleet.Tokens) fleet.Tokens {
+	q, ok := p.budgets[budget]
+	if !ok {
+		return cost
+	}
+	return max(cost-q.free, 0)
+}
+
 // GiveAll returns changes that give back all that is free. It is for a planned
 // stop, after the last request.
 func (p *Pool) GiveAll() []ledger.LeaseChange {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -31,7 +31,10 @@
 type Shortage struct {
 	// Answered says that the ledger was heard while the request waited.
 	Answered bool
-	Last     ledger.LeaseResult
+	// Spent says that the ledger has not enough left and that no holder is left
+	// to give back: waiting longer would not help.
+	Spent bool
+	Last  ledger.LeaseResult
 }
 
 // Config sets up a Keeper.
@@ -333,8 +336,13 @@
 	if len(waiting) == 0 || change.Need == 0 || result.Granted > 0 || result.Recalling {
 		return
 	}
+	if k.pool.Lacks(budget, waiting[0].amount) < change.Need {
+		// Another request is first now, for which less may do.
+		return
+	}
 	waiting[0].answer <- &Shortage{
 		Answered: true,
+		Spent:    true,
 		Last:     result,
 	}
 	k.setWaiting(budget, waiting[1:])
