--- a/control/group.go
+++ b/control/group.go
@@ -195,7 +195,11 @@
 	if r.table.MarkDead(now) {
 		r.notify(effects{ending: true})
 	}
-	if now-r.announced < announceInterval {
+	interval := announceInterval
+	if r.selfForming() && r.core.Leader() == 0 {
+		interval = lostInterval
+	}
+	if now-r.announced < interval {
 		return
 	}
 	r.announced = now
--- a/control/replica.go
+++ b/control/replica.go
@@ -29,6 +29,10 @@
 	heartbeatInterval = 100 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	announceInterval  = 500 * time.Millisecond
+	// lostInterval is the time between announcements while no leader is known:
+	// after a restart of all, nobody can vote for a replica whose address it has
+	// not heard.
+	lostInterval = 100 * time.Millisecond
 	// freshWithin is how old a replica's last word from its leader may be for
 	// it to hand out configuration.
 	freshWithin = 1500 * time.Millisecond
--- a/control/serve.go
+++ b/control/serve.go
@@ -20,7 +20,7 @@
 
 // updateInterval is the longest time between updates to a subscriber; each also
 // says that the replica is alive.
-const updateInterval = time.Second
+const updateInterval = 500 * time.Millisecond
 
 func (r *Replica) handle(endpoint *wire.Endpoint) {
 	endpoint.HandleMessage(MethodConsensus, func(_ fleet.NodeID, body []byte) {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -26,8 +26,8 @@
 // Times of the link.
 const (
 	// silence is the time without an update after which another replica is
-	// tried. Updates come at least each second.
-	silence = 1800 * time.Millisecond
+	// tried. Updates come at least each half second.
+	silence = 1300 * time.Millisecond
 	// stalePatience is how long a stale replica is kept when no other is at
 	// hand. Staleness itself takes 1.5 s to show.
 	stalePatience = 700 * time.Millisecond
