A leader bounds what a node that lost power can have spent

The leader knows by its own clock when the holder last had an answer. The random test of metered leases now draws this too.

--- a/control/command.go
+++ b/control/command.go
@@ -16,19 +16,30 @@
 //
 // Every command is idempotent, so that an asker that lost the answer asks again.
 type Command struct {
-	At      fleet.UnixMillis        `json:"at"`
-	Ticket  *catalog.Ticket         `json:"ticket,omitempty"`
-	Join    *ledger.Join            `json:"join,omitempty"`
-	Leases  []ledger.LeaseChange    `json:"leases,omitempty"`
-	Settle  *ledger.Settle          `json:"settle,omitempty"`
-	Begin   *ledger.Begin           `json:"begin,omitempty"`
-	Finish  *ledger.Finish          `json:"finish,omitempty"`
-	Confirm *ledger.ConfirmNoneHeld `json:"confirm,omitempty"`
+	At     fleet.UnixMillis     `json:"at"`
+	Ticket *catalog.Ticket      `json:"ticket,omitempty"`
+	Join   *ledger.Join         `json:"join,omitempty"`
+	Leases []ledger.LeaseChange `json:"leases,omitempty"`
+	// Sequence numbers a holder's commands of Leases.
+	Sequence *Sequence               `json:"sequence,omitempty"`
+	Settle   *ledger.Settle          `json:"settle,omitempty"`
+	Begin    *ledger.Begin           `json:"begin,omitempty"`
+	Finish   *ledger.Finish          `json:"finish,omitempty"`
+	Confirm  *ledger.ConfirmNoneHeld `json:"confirm,omitempty"`
 	// Configure replaces the configuration of routed requests, if its version
 	// is higher than the one in force.
 	Configure *Configuration `json:"configure,omitempty"`
 }
 
+// Sequence tells the leader which answers a holder had when it made a command.
+type Sequence struct {
+	Holder fleet.Holder `json:"holder"`
+	// Number is the command's own, Acknowledged that of the latest command whose
+	// answer the holder has, 0 for none.
+	Number       uint64 `json:"number"`
+	Acknowledged uint64 `json:"acknowledged,omitempty"`
+}
+
 // Configuration is a configuration of routed requests with the operator's text.
 type Configuration struct {
 	Config routing.Config `json:"config"`
--- a/control/replica.go
+++ b/control/replica.go
@@ -95,6 +95,8 @@
 	directAt  map[fleet.NodeID]time.Duration
 	waiting   map[consensus.Index]waiter
 	wasLeader bool
+	// presence is what this replica has seen of holders while it led.
+	presence presence
 	// ledSince is when this replica began to lead.
 	ledSince time.Duration
 	failed   error
@@ -176,6 +178,7 @@
 		directAt:    map[fleet.NodeID]time.Duration{},
 		waiting:     map[consensus.Index]waiter{},
 		broken:      make(chan struct{}),
+		presence:    presence{},
 		messages:    make(chan consensus.Message, 4096),
 		proposals:   make(chan proposal, 4096),
 		work:        make(chan func(), 256),
@@ -406,6 +409,7 @@
 	}
 	r.wasLeader = leads
 	r.ledSince = clock.Boot()
+	r.presence = presence{}
 	if leads {
 		r.cfg.Log.Info(event.LeaderElected).Uint64("term", uint64(r.core.Term())).Msg("control replica leads")
 	} else {
--- a/control/submit.go
+++ b/control/submit.go
@@ -32,7 +32,14 @@
 		all.routing = all.routing || effect.routing
 		all.ending = all.ending || effect.ending
 		all.recalls = append(all.recalls, effect.recalls...)
-		r.logApplied(command, result)
+		// An entry of an earlier term is carried out by a new leader later than
+		// its holder can have heard of it.
+		if own := r.core.IsLeader() && entry.Term == r.core.Term(); own {
+			if command.Sequence != nil {
+				r.presence.applied(*command.Sequence, clock.Boot())
+			}
+			r.logApplied(command, result)
+		}
 		r.answer(entry, result)
 	}
 	if all.any() {
@@ -40,11 +47,8 @@
 	}
 }
 
-// logApplied writes what a command decided, on the leader alone.
+// logApplied writes what a command of this leader's term decided.
 func (r *Replica) logApplied(command Command, result Result) {
-	if !r.core.IsLeader() {
-		return
-	}
 	if command.Join != nil {
 		r.cfg.Log.Info(event.LifeJoined).
 			Str("holder", string(command.Join.Holder.Node)).
@@ -114,6 +118,9 @@
 		return
 	}
 	p.command.At = clock.Wall()
+	if p.command.Join != nil {
+		r.presence.complete(p.command.Join, clock.Boot())
+	}
 	data, err := cbor.Marshal(p.command)
 	if err != nil {
 		p.answer <- SubmitAnswer{
--- a/lease/metered_test.go
+++ b/lease/metered_test.go
@@ -19,6 +19,8 @@
 	holder   fleet.Holder
 	life     uint64
 	reserved []fleet.Tokens
+	// made is when the latest of its changes that was carried out was made.
+	made time.Duration
 }
 
 // meteredWorld is a ledger and its nodes, with a network that loses and delays.
@@ -37,14 +39,22 @@
 	change ledger.LeaseChange
 }
 
-func (w *meteredWorld) start(n *meteredNode, name fleet.NodeID, boot string) {
+// start starts a node's next life. Seen says that the leader knows when the life before
+// made its latest change.
+func (w *meteredWorld) start(n *meteredNode, name fleet.NodeID, boot string, seen bool) {
 	n.life++
+	since := time.Duration(0)
+	if seen && n.made > 0 {
+		since = w.now - n.made + 1
+	}
+	n.made = 0
 	n.holder = fleet.Holder{Node: name}
 	incarnation, _ := w.state.JoinLife(ledger.Join{
 		Holder:  n.holder,
 		Life:    n.life,
 		Boot:    boot,
 		Started: w.now,
+		Since:   since,
 	})
 	n.holder.Incarnation = incarnation
 	n.reserved = nil
@@ -73,6 +83,9 @@
 	c := w.commands[i]
 	w.commands = append(w.commands[:i:i], w.commands[i+1:]...)
 	result, recalls := w.state.ChangeLease(c.change)
+	if c.life == c.node.life {
+		c.node.made = max(c.node.made, c.change.At)
+	}
 	for _, recall := range recalls {
 		for _, n := range w.nodes {
 			if n.holder == recall.Holder {
@@ -113,7 +126,7 @@
 		for _, name := range names {
 			n := &meteredNode{}
 			w.nodes = append(w.nodes, n)
-			w.start(n, name, "boot")
+			w.start(n, name, "boot", false)
 		}
 		node := func() int { return rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node") }
 		actions := map[string]func(*rapid.T){
@@ -187,7 +200,7 @@
 					boot = rapid.StringN(4, 4, 4).Draw(t, "boot")
 				}
 				w.now += time.Duration(rapid.SampledFrom([]int{0, 500, 4000}).Draw(t, "down")) * time.Millisecond
-				w.start(n, names[i], boot)
+				w.start(n, names[i], boot, rapid.Bool().Draw(t, "seen"))
 			},
 			"topUp": func(t *rapid.T) {
 				w.prepaid += fleet.Tokens(rapid.IntRange(0, 300).Draw(t, "tokens"))
@@ -238,7 +251,7 @@
 	w.state.Meter(testBudget, w.prepaid)
 	n := &meteredNode{}
 	w.nodes = append(w.nodes, n)
-	w.start(n, "a", "boot")
+	w.start(n, "a", "boot", false)
 	for range 20 {
 		w.now += reportInterval
 		if n.pool.Reserve(testBudget, 1000, w.now) {
@@ -255,7 +268,7 @@
 		t.Fatalf("got %d leased before the kill, want a lease worth losing", view.Leased)
 	}
 	w.now += 500 * time.Millisecond
-	w.start(n, "a", "boot")
+	w.start(n, "a", "boot", false)
 	view, _ = w.state.Budget(testBudget)
 	if lost := view.Settled - w.spent; lost > 25_000 {
 		t.Errorf("got %d lost with the killed process, want at most 25000", lost)
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -23,6 +23,10 @@
 	// last life can have ended.
 	Boot    string        `json:"boot,omitempty"`
 	Started time.Duration `json:"started,omitempty"`
+	// Since is set by the leader where it knows it: the life before made its
+	// latest change at most so long before this one joined. It serves where a VM
+	// lost power, and its clock with it.
+	Since time.Duration `json:"since,omitempty"`
 }
 
 // LeaseChange moves quota between a budget and a holder. The holder numbers its
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -41,11 +41,11 @@
 		return last, Forfeit{}
 	}
 	forfeit := Forfeit{}
-	if known && before.boot == join.Boot && join.Boot != "" {
+	if known {
 		forfeit = s.forfeitLimits(fleet.Holder{
 			Node:        node,
 			Incarnation: last,
-		}, join.Started)
+		}, s.endedBy(node, join, before.boot == join.Boot && join.Boot != ""))
 	}
 	s.lives[node] = life{
 		id:   join.Life,
@@ -72,8 +72,32 @@
 	Returned fleet.Tokens
 }
 
-// forfeitLimits ends the metered leases of a life that is known to have ended before
-// started, on the clock of its VM.
+// endedBy returns a time on the clock of a node's last life by which that life had
+// ended, or 0 where none is known. The same run of the kernel tells it, and so does the
+// leader, if it has led since before the life's latest change.
+func (s *State) endedBy(node fleet.NodeID, join Join, sameBoot bool) time.Duration {
+	latest := time.Duration(0)
+	holder := fleet.Holder{
+		Node:        node,
+		Incarnation: s.holders[node],
+	}
+	for _, a := range s.accounts {
+		if l, ok := a.leases[holder]; ok && a.metered {
+			latest = max(latest, l.at)
+		}
+	}
+	ended := time.Duration(0)
+	if sameBoot && join.Started >= latest {
+		ended = join.Started
+	}
+	if join.Since > 0 && (ended == 0 || latest+join.Since < ended) {
+		ended = latest + join.Since
+	}
+	return ended
+}
+
+// forfeitLimits ends the metered leases of a life that is known to have ended by
+// a time on the clock of its VM.
 //
 // A holder spends within the limit that it named with its latest change, which rises
 // with time. So what the limit had risen to when the next life began is all that can
@@ -81,20 +105,20 @@
 // names a limit of 5,000 at 41.2 s that rises by 3,000 a second, is killed, and starts
 // again at 43.2 s: 11,000 count as spent and 79,000 come back. Without a limit all
 // 90,000 would, since the last report of a killed process is always missing.
-func (s *State) forfeitLimits(ended fleet.Holder, started time.Duration) Forfeit {
+func (s *State) forfeitLimits(life fleet.Holder, ended time.Duration) Forfeit {
 	f := Forfeit{}
 	for _, a := range s.accounts {
-		l, ok := a.leases[ended]
-		if !ok || !a.metered || started < l.at {
+		l, ok := a.leases[life]
+		if !ok || !a.metered || ended < l.at {
 			continue
 		}
-		risen := fleet.Tokens(float64(l.slope) * (started - l.at).Seconds())
+		risen := fleet.Tokens(float64(l.slope) * (ended - l.at).Seconds())
 		spent := min(l.limit+risen, l.outstanding)
 		a.spend(l, spent)
 		f.Spent += spent
 		f.Returned += l.outstanding
 		a.leased -= l.outstanding
-		delete(a.leases, ended)
+		delete(a.leases, life)
 	}
 	return f
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -68,6 +68,9 @@
 	waiting  map[fleet.BudgetID][]*waiter
 	// sending is true while a command of lease changes is under way.
 	sending bool
+	// sent numbers the commands, acknowledged is the latest with an answer.
+	sent         uint64
+	acknowledged uint64
 }
 
 type waiter struct {
@@ -302,13 +305,24 @@
 		return
 	}
 	k.sending = true
+	k.sent++
+	number := k.sent
+	command := control.Command{
+		Leases: changes,
+		Sequence: &control.Sequence{
+			Holder:       changes[0].Holder,
+			Number:       number,
+			Acknowledged: k.acknowledged,
+		},
+	}
 	k.Go(func() {
 		ctx, cancel := context.WithTimeout(k.Context(), leaseTimeout)
 		defer cancel()
-		result, err := k.ledger.Submit(ctx, control.Command{Leases: changes})
+		result, err := k.ledger.Submit(ctx, command)
 		k.Do(func() {
 			k.sending = false
 			if err == nil {
+				k.acknowledged = number
 				k.answers(changes, result.Leases)
 			}
 		})
