--- a/ledger/image.go
+++ b/ledger/image.go
@@ -35,6 +35,8 @@
 	Settled fleet.Tokens   `json:"settled"`
 	Leases  []LeaseImage   `json:"leases"`
 	Metered bool           `json:"metered,omitempty"`
+	// ScarceUntil is when needs that are not met stop others' wishes.
+	ScarceUntil fleet.UnixMillis `json:"scarceUntil,omitempty"`
 }
 
 // LeaseImage is one lease in an Image.
@@ -127,10 +129,11 @@
 
 func (a *account) image(id fleet.BudgetID) AccountImage {
 	image := AccountImage{
-		ID:      id,
-		Prepaid: a.prepaid,
-		Settled: a.settled,
-		Metered: a.metered,
+		ID:          id,
+		Prepaid:     a.prepaid,
+		Settled:     a.settled,
+		Metered:     a.metered,
+		ScarceUntil: a.scarceUntil,
 	}
 	for holder, l := range a.leases {
 		image.Leases = append(image.Leases, LeaseImage{
@@ -219,10 +222,11 @@
 
 func accountFromImage(image AccountImage) *account {
 	a := &account{
-		prepaid: image.Prepaid,
-		settled: image.Settled,
-		metered: image.Metered,
-		leases:  map[fleet.Holder]*lease{},
+		prepaid:     image.Prepaid,
+		settled:     image.Settled,
+		metered:     image.Metered,
+		scarceUntil: image.ScarceUntil,
+		leases:      map[fleet.Holder]*lease{},
 	}
 	for _, l := range image.Leases {
 		a.leases[l.Holder] = &lease{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -48,6 +48,9 @@
 	// recallPause keeps a holder that gave back all it could from being
 	// asked again at once.
 	recallPause = 500 * time.Millisecond
+	// scarceTime keeps what holders of a metered budget gave back for the one that
+	// needs it: otherwise they would ask for it again before it asks.
+	scarceTime = time.Second
 )
 
 // State is the whole ledger. It is not safe for concurrent use.
@@ -80,6 +83,9 @@
 	// metered budgets learn of spending from their holders' sums. What an ended
 	// holder had not reported counts as spent.
 	metered bool
+	// scarceUntil is set while a holder's need is not met. Until then others get
+	// what they need, and nothing beyond.
+	scarceUntil fleet.UnixMillis
 }
 
 func (a *account) free() fleet.Tokens {
@@ -231,7 +237,7 @@
 	}
 	result := LeaseResult{
 		Seq:     c.Seq,
-		Granted: a.grant(c, l.outstanding),
+		Granted: a.grant(c, l.outstanding, s.now),
 	}
 	l.outstanding += result.Granted
 	a.leased += result.Granted
@@ -239,6 +245,7 @@
 	result.LeasedElsewhere = a.leased - l.outstanding
 	var recalls []Recall
 	if result.Granted < c.Need {
+		a.scarceUntil = s.now.Add(scarceTime)
 		recalls = s.recallOthers(c.Budget, a, c.Holder)
 		result.Recalling = a.anyRecalling(c.Holder)
 	}
@@ -267,12 +274,15 @@
 // Beyond that, a holder gets a share of what remains, so that a budget near its
 // end is not stranded on one node: the share shrinks with the remainder, and the
 // last tokens stay with the ledger for whoever asks next.
-func (a *account) grant(c LeaseChange, held fleet.Tokens) fleet.Tokens {
+func (a *account) grant(c LeaseChange, held fleet.Tokens, now fleet.UnixMillis) fleet.Tokens {
 	free := a.free()
 	need := max(c.Need, 0)
 	if need > free {
 		return 0
 	}
+	if a.metered && now < a.scarceUntil {
+		return need
+	}
 	if c.HoldPerMille > 0 {
 		hold := (a.prepaid - a.settled) / 1000 * fleet.Tokens(min(c.HoldPerMille, 1000))
 		return need + min(max(c.Want-need, 0), max(hold-held-need, 0), free-need)
--- /dev/null
+++ b/ledger/metered_test.go
@@ -0,0 +1,75 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+)
+
+// TestNeedGoesBeforeWishes has one holder give back what another needs, and ask for it
+// again at once: the one that needs it gets it.
+func TestNeedGoesBeforeWishes(t *testing.T) {
+	s := New()
+	s.Advance(1_000_000)
+	s.Meter("w", 1000)
+	a := fleet.Holder{
+		Node:        "a",
+		Incarnation: 1,
+	}
+	b := fleet.Holder{
+		Node:        "b",
+		Incarnation: 1,
+	}
+	s.Join(a)
+	s.Join(b)
+	if got, _ := s.ChangeLease(LeaseChange{
+		Holder:       a,
+		Budget:       "w",
+		Seq:          1,
+		Want:         5000,
+		HoldPerMille: 900,
+	}); got.Granted != 900 {
+		t.Fatalf("got %d granted, want 900", got.Granted)
+	}
+	need := LeaseChange{
+		Holder:       b,
+		Budget:       "w",
+		Seq:          1,
+		Need:         600,
+		HoldPerMille: 900,
+	}
+	got, recalls := s.ChangeLease(need)
+	if got.Granted != 0 || len(recalls) != 1 || !got.Recalling {
+		t.Fatalf("got %+v and recalls %v, want a recall", got, recalls)
+	}
+	s.ChangeLease(LeaseChange{
+		Holder:        a,
+		Budget:        "w",
+		Seq:           2,
+		Give:          900,
+		AnswersRecall: true,
+	})
+	if got, _ := s.ChangeLease(LeaseChange{
+		Holder:       a,
+		Budget:       "w",
+		Seq:          3,
+		Want:         5000,
+		HoldPerMille: 900,
+	}); got.Granted != 0 {
+		t.Errorf("got %d granted to a wish while a need waits, want 0", got.Granted)
+	}
+	need.Seq = 2
+	if got, _ := s.ChangeLease(need); got.Granted != 600 {
+		t.Errorf("got %d granted to the need, want 600", got.Granted)
+	}
+	s.Advance(1_000_000 + 2*fleet.UnixMillis(scarceTime.Milliseconds()))
+	if got, _ := s.ChangeLease(LeaseChange{
+		Holder:       a,
+		Budget:       "w",
+		Seq:          4,
+		Want:         5000,
+		HoldPerMille: 900,
+	}); got.Granted != 400 {
+		t.Errorf("got %d granted to a wish later, want 400", got.Granted)
+	}
+}
