--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -50,7 +50,7 @@
 	recallPause = 500 * time.Millisecond
 	// scarceTime keeps what holders of a metered budget gave back for the one that
 	// needs it: otherwise they would ask for it again before it asks.
-	scarceTime = time.Second
+	scarceTime = 250 * time.Millisecond
 )
 
 // State is the whole ledger. It is not safe for concurrent use.
