--- a/control/selfforming_test.go
+++ b/control/selfforming_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/waxwingreel/waxwingreel/commitlog"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/loopback"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -30,12 +30,11 @@
 
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	address, err := loopback.Free("udp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = socket.Close() }()
-	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return address
 }
 
 // start starts the VM's process. First says that the whole fleet starts for the first
--- a/lease/metered_test.go
+++ b/lease/metered_test.go
@@ -156,7 +156,7 @@
 				amount := fleet.Tokens(rapid.SampledFrom([]int{20, 100}).Draw(t, "amount"))
 				w.burn(n, amount)
 			},
-			"exchange": func(t *rapid.T) {
+			"exchange": func(*rapid.T) {
 				n := w.nodes[node()]
 				w.now += reportInterval
 				at := len(w.commands)
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -417,7 +417,7 @@
 	// reportInterval is the time between the changes of a budget in use, and
 	// reportFor how long it counts as in use after a request. A lease whose last
 	// change is old counts as spent when its holder dies.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	reportFor      = 10 * time.Second
 	// surplusTimes is how many times its target a pool holds before it gives back.
 	surplusTimes = 2
--- /dev/null
+++ b/loopback/loopback_test.go
@@ -0,0 +1,23 @@
+package loopback
+
+import (
+	"net/netip"
+	"testing"
+)
+
+func TestFreeGivesEachAddressOnce(t *testing.T) {
+	seen := map[netip.AddrPort]bool{}
+	for range 200 {
+		address, err := Free("tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[address] {
+			t.Fatalf("got %s twice", address)
+		}
+		seen[address] = true
+		if got := address.Port(); got >= 32768 {
+			t.Errorf("got port %d, want one that the kernel gives to no outgoing connection", got)
+		}
+	}
+}
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingreel/waxwingreel/entry"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/loopback"
 	"github.com/waxwingreel/waxwingreel/node"
 	"github.com/waxwingreel/waxwingreel/relay"
 	"github.com/waxwingreel/waxwingreel/settings"
@@ -60,21 +61,6 @@
 	return hex.EncodeToString(digest[:])
 }
 
-func free(network string) (netip.AddrPort, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}, eris.Wrap(err, "measure: find a port")
-		}
-		return conn.LocalAddr().(*net.UDPAddr).AddrPort(), conn.Close()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, eris.Wrap(err, "measure: find a port")
-	}
-	return listener.Addr().(*net.TCPAddr).AddrPort(), listener.Close()
-}
-
 func startFleet(cfg fleetConfig) (*testFleet, error) {
 	folder, err := os.MkdirTemp("", "waxwingreel-measure-")
 	if err != nil {
@@ -137,7 +123,7 @@
 func (f *testFleet) addSettings(i int) error {
 	addresses := [4]netip.AddrPort{}
 	for j, network := range []string{"udp", "udp", "tcp", "tcp"} {
-		address, err := free(network)
+		address, err := loopback.Free(network)
 		if err != nil {
 			return err
 		}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -20,9 +20,9 @@
 	prefillRate = 45.0
 	// runningCost is how much one more running request delays a first token.
 	runningCost = 150 * time.Microsecond
-	// farCost is what a request to another data centre loses: a round trip, and
-	// its bytes.
-	farCost = 8 * time.Millisecond
+	// farCost is what a request to another data centre loses: a round trip of some
+	// milliseconds, and its bytes, which users pay for more than for a short wait.
+	farCost = 25 * time.Millisecond
 	// errorCost is the wait that a server with nothing but errors is worth.
 	errorCost = 2 * time.Second
 	// errorMemory is the weight of the latest outcome in a server's error rate.
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/loopback"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/relay"
 	"github.com/waxwingreel/waxwingreel/settings"
@@ -122,20 +123,11 @@
 
 func freeAddress(t *testing.T, network string) netip.AddrPort {
 	t.Helper()
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Free(network)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 func newFleet(t *testing.T, s shape, seed uint64) *testFleet {
