--- a/command/command.go
+++ b/command/command.go
@@ -105,6 +105,12 @@
 		long:  "Checks a settings file whole, opens nothing, and says what is wrong and where.",
 		data:  &checkCommand{env: env},
 	})
+	add(parser, subcommand{
+		name:  "explain",
+		short: "Tell from logs what became of a request",
+		long:  "Reads the logs of one or more nodes and tells what became of a routed request, why, and what its node believed at that time.",
+		data:  &explainCommand{env: env},
+	})
 	ticket := add(parser, subcommand{
 		name:  "ticket",
 		short: "Apply and read change tickets",
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,57 @@
+package explain_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/waxwingreel/waxwingreel/explain"
+)
+
+// TestStories reads real lines of an incident: a refusal for quota in a network
+// partition, an instance that did not answer in time, and work in doubt.
+func TestStories(t *testing.T) {
+	lines := readLog(t)
+	for id, want := range map[string][]string{
+		"6e43b91aee73bf02": {"quota on this node was used up while the control group could not be reached", "status 503", "subscription ended"},
+		"3b0e651970d72ae4": {"instance i-b2c42f8153 had not answered when", "status 504"},
+		"970df8a43fc2d472": {"may have run, so it was not sent again", "status 502", "connection reset by peer"},
+	} {
+		story, err := explain.Request(id, lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range want {
+			if got := story.Text(); !strings.Contains(got, part) {
+				t.Errorf("request %s: got\n%s\nwant it to contain %q", id, got, part)
+			}
+		}
+	}
+	if _, err := explain.Request("absent", lines); err == nil {
+		t.Error("got a story of a request that the logs do not have, want an error")
+	}
+}
+
+func readLog(t *testing.T) []explain.Line {
+	t.Helper()
+	file, err := os.Open("testdata/incident.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := explain.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+func ExampleRead() {
+	lines, err := explain.Read(strings.NewReader(`
+collected: {"time":"2026-06-21T05:08:16.021Z","node":"n1","event":101,"message":"node started"}
+not an event
+`))
+	fmt.Println(len(lines), lines[0].Node, err)
+	// Output: 1 n1 <nil>
+}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -120,7 +120,7 @@
 	// Uncached is the part of the prompt that was taken to be read anew.
 	Uncached fleet.Tokens
 	// Candidates is how many instances were usable, LoadAge how old the chosen
-	// one's load report was.
+	// one's load report was, negative if it had made none.
 	Candidates int
 	LoadAge    time.Duration
 
@@ -231,6 +231,13 @@
 	return best, candidates > 0
 }
 
+func (s *forecastServer) loadAge(now time.Duration) time.Duration {
+	if s.reportedAt < 0 {
+		return -time.Millisecond
+	}
+	return now - s.reportedAt
+}
+
 // rank returns the engines that are first in the hash order of the request's longest
 // shared part, or none where its shared parts are small. The last part is the
 // request's own.
