--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -35,7 +35,7 @@
 
 func readLog(t *testing.T) []explain.Line {
 	t.Helper()
-	file, err := os.Open("testdata/incident.log")
+	file, err := os.Open("../examples/logs/incident.log")
 	if err != nil {
 		t.Fatal(err)
 	}
