A node bounds the requests under way by its memory; fields without a reader removed

A burst beyond the bound is refused at once and sent to another node; test TestBusyNodeSendsCallersElsewhere. Idle connections to an instance are bounded by what it accepts from all nodes.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -39,8 +39,6 @@
 	maxExtraAnswers = 2
 	// maxExtraBytes bounds such an answer's body.
 	maxExtraBytes = 64 << 10
-	// maxIdle bounds the kept connections to one instance.
-	maxIdle = 16
 	// readBuffer holds an answer's header and the first events of a stream.
 	readBuffer = 4 << 10
 )
@@ -74,6 +72,8 @@
 	// resets counts retirements, so that a connection that was in use during
 	// one is not kept.
 	resets map[Instance]int
+	// keep is how many idle connections are kept to each instance.
+	keep map[Instance]int
 }
 
 // NewConns returns an empty set.
@@ -81,6 +81,7 @@
 	return &Conns{
 		idle:   map[Instance][]*Conn{},
 		resets: map[Instance]int{},
+		keep:   map[Instance]int{},
 	}
 }
 
@@ -338,7 +339,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.idle[conn.instance]
-	if len(kept) >= maxIdle || conn.resets != c.resets[conn.instance] {
+	if len(kept) >= c.keep[conn.instance] || conn.resets != c.resets[conn.instance] {
 		_ = conn.conn.Close()
 		return
 	}
@@ -357,12 +358,14 @@
 	delete(c.idle, instance)
 }
 
-// Keep closes the connections to all instances but these.
-func (c *Conns) Keep(instances map[Instance]bool) {
+// Keep sets how many idle connections to keep to each instance, and closes those to
+// all others.
+func (c *Conns) Keep(instances map[Instance]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.keep = instances
 	for instance, kept := range c.idle {
-		if instances[instance] {
+		if instances[instance] > 0 {
 			continue
 		}
 		for _, conn := range kept {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -166,6 +166,8 @@
 		return fmt.Sprintf("instance %v ran it and failed it", end.Fields["instance"])
 	case gateway.CauseInstanceBusy:
 		return "every instance that was tried refused it for lack of room; it has not run"
+	case gateway.CauseNodeBusy:
+		return "its node worked on as many requests as its memory allows; it has not run"
 	case gateway.CauseNoInstance:
 		return "no instance of its service was listed and staying"
 	case gateway.CauseUnreachable:
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,6 +40,8 @@
 	ratio float64
 	slack float64
 	nodes func() int
+	// keep returns how many idle connections to keep to an instance of a service.
+	keep  func(fleet.ServiceID) int
 	conns *backend.Conns
 	log   *event.Log
 }
@@ -61,12 +63,12 @@
 	d.Do(func() {
 		d.listedAt = clock.Boot() - time.Duration(list.AgeMillis)*time.Millisecond
 		byService := map[fleet.ServiceID][]routing.Instance{}
-		current := map[backend.Instance]bool{}
+		current := map[backend.Instance]int{}
 		next := map[fleet.BackendServerID]routing.Instance{}
 		for _, i := range list.Instances {
 			byService[i.Service] = append(byService[i.Service], i)
 			next[i.ID] = i
-			current[target(i)] = true
+			current[target(i)] = d.cfg.keep(i.Service)
 		}
 		d.logChanges(next, list)
 		d.instances = next
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -122,6 +122,10 @@
 		x.refuse(CauseNoConfiguration)
 		return false
 	}
+	if limit := x.view.Config.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		x.reject(http.StatusRequestHeaderFieldsTooLarge, CauseHeaderTooLarge)
+		return false
+	}
 	request, err := x.s.cfg.Protocol.ReadRequest(x.r)
 	if err != nil {
 		x.reject(http.StatusBadRequest, CauseMalformed)
@@ -150,6 +154,18 @@
 	return true
 }
 
+// headerBytes is about the size of a request's header on the wire.
+func headerBytes(r *http.Request) int {
+	const perLine = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + perLine
+		}
+	}
+	return size
+}
+
 // readBody reads the body whole: an attempt that fails must be able to send it again.
 func (x *exchange) readBody() bool {
 	if x.r.Body == nil || x.r.ContentLength == 0 {
@@ -258,7 +274,6 @@
 func (x *exchange) run() {
 	for {
 		placed, listAge, ok := x.s.dispatch.pick(x.service.ID, placement.ForecastRequest{
-			ID:     x.request.ID,
 			Parts:  x.request.Parts,
 			Prompt: x.request.Prompt,
 			Avoid:  x.avoid,
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -173,12 +173,13 @@
 
 func newServer(t *testing.T, route routing.Route, in *instances) *httptest.Server {
 	s := gateway.New(gateway.Config{
-		Node:       "n1",
-		Link:       noLink{},
-		Protocol:   platform.Protocol{},
-		RetryRatio: 0.2,
-		RetrySlack: 20,
-		Log:        event.New(io.Discard, "n1"),
+		Node:        "n1",
+		Link:        noLink{},
+		Protocol:    platform.Protocol{},
+		RetryRatio:  0.2,
+		RetrySlack:  20,
+		MaxInFlight: maxInFlight,
+		Log:         event.New(io.Discard, "n1"),
 	})
 	s.Configured(routing.NewView(routing.Config{
 		Version:  1,
@@ -263,6 +264,48 @@
 	}
 }
 
+// TestBusyNodeSendsCallersElsewhere answers the pattern of many users who come at once:
+// beyond what its memory allows a node refuses at once, and says when to come back.
+func TestBusyNodeSendsCallersElsewhere(t *testing.T) {
+	in := newInstances(t, strings.Repeat("silent ", 8))
+	server := newServer(t, routing.Route{
+		Name:        "r",
+		Host:        "127.0.0.1",
+		Prefix:      "/",
+		Kind:        routing.KindOnce,
+		Timeout:     500 * time.Millisecond,
+		Targets:     targets,
+		MaxAttempts: 1,
+	}, in)
+	const callers = maxInFlight + 4
+	statuses := make(chan int, callers)
+	started := time.Now()
+	for range callers {
+		go func() {
+			response, err := http.Post(server.URL+"/x", "text/plain", strings.NewReader("work"))
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusServiceUnavailable && time.Since(started) > 200*time.Millisecond {
+				t.Error("got a refusal late, want it at once")
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range callers {
+		count[<-statuses]++
+	}
+	if got, want := count[http.StatusServiceUnavailable], 4; got != want {
+		t.Errorf("got %d refusals of %v, want %d", got, count, want)
+	}
+}
+
+// maxInFlight is the bound of the tests' servers.
+const maxInFlight = 4
+
 func TestNothingRunsWithoutAnInstance(t *testing.T) {
 	in := newInstances(t, "")
 	for i := range in.list {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// partition is the network partition from the control group that a node's own
 	// leases bridge, with a reserve for a workspace that sends more than usual.
 	partition = 12 * time.Second
+	// maxIdle bounds the idle connections to one instance.
+	maxIdle = 16
 	// confirmTimeout bounds one confirmation to the ledger.
 	confirmTimeout = 3 * time.Second
 )
@@ -64,7 +66,10 @@
 	// request, for all nodes together in any window.
 	RetryRatio float64
 	RetrySlack float64
-	Log        *event.Log
+	// MaxInFlight bounds the requests that the node works on at once, 0 for no
+	// bound.
+	MaxInFlight int64
+	Log         *event.Log
 }
 
 // Server answers routed requests.
@@ -105,6 +110,7 @@
 		ratio:      cfg.RetryRatio,
 		slack:      cfg.RetrySlack,
 		nodes:      s.nodes,
+		keep:       s.keepIdle,
 		conns:      s.conns,
 		log:        cfg.Log,
 	})
@@ -122,6 +128,20 @@
 	return max(n, 1)
 }
 
+// keepIdle returns how many idle connections to keep to an instance of a service: few
+// enough that those of all nodes take half of what the instance accepts.
+func (s *Server) keepIdle(service fleet.ServiceID) int {
+	view := s.view.Load()
+	if view == nil {
+		return maxIdle
+	}
+	found := view.Service(service)
+	if found == nil || found.MaxConnections == 0 {
+		return maxIdle
+	}
+	return min(max(found.MaxConnections/2/s.nodes(), 1), maxIdle)
+}
+
 // Joined starts the keeping of quota, once this life of the node is registered.
 func (s *Server) Joined() {
 	keeper := quota.New(quota.Config{
@@ -247,7 +267,7 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
+	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	x := &exchange{
 		s:       s,
@@ -257,6 +277,10 @@
 		arrived: clock.Boot(),
 	}
 	x.deadline = x.arrived
+	if s.cfg.MaxInFlight > 0 && inFlight > s.cfg.MaxInFlight {
+		x.refuse(CauseNodeBusy)
+		return
+	}
 	x.serve()
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -19,10 +19,14 @@
 	CauseNone Cause = ""
 	// CauseNoConfiguration means that this node has none yet.
 	CauseNoConfiguration Cause = "noConfiguration"
-	CauseMalformed       Cause = "malformed"
-	CauseNoRoute         Cause = "noRoute"
-	CauseUnknownKey      Cause = "unknownKey"
-	CauseBodyTooLarge    Cause = "bodyTooLarge"
+	// CauseNodeBusy means that this node works on as many requests as its memory
+	// allows.
+	CauseNodeBusy       Cause = "nodeBusy"
+	CauseMalformed      Cause = "malformed"
+	CauseNoRoute        Cause = "noRoute"
+	CauseUnknownKey     Cause = "unknownKey"
+	CauseBodyTooLarge   Cause = "bodyTooLarge"
+	CauseHeaderTooLarge Cause = "headerTooLarge"
 	// CauseBodyBroken means that the caller did not send the whole body.
 	CauseBodyBroken Cause = "bodyBroken"
 	// CauseBudgetSpent means that the ledger has no more for the workspace.
@@ -63,8 +67,8 @@
 const (
 	// retryBusy is about the time in which a full instance frees a place.
 	retryBusy = 400 * time.Millisecond
-	// retryElsewhere sends the caller to another node at once: quota that this
-	// one lacks another may have.
+	// retryElsewhere sends the caller to another node at once: quota or memory
+	// that this one lacks another may have.
 	retryElsewhere = 60 * time.Millisecond
 	// retryAbsent is about the time in which the list of instances, a
 	// configuration or quota changes.
@@ -79,7 +83,7 @@
 	switch cause {
 	case CauseInstanceBusy, CauseUnreachable:
 		base = retryBusy
-	case CauseNoQuota:
+	case CauseNoQuota, CauseNodeBusy:
 		base = retryElsewhere
 	}
 	return base + time.Duration(rand.Float64()*retrySpread*float64(base))
--- a/node/site.go
+++ b/node/site.go
@@ -33,6 +33,9 @@
 	// before it collects harder. The rest is for stacks, buffers of the kernel
 	// and what is in flight.
 	heapPart = 0.6
+	// requestsPerMegabyte bounds the requests under way by the process's memory: a
+	// request holds its body, some ten kilobytes, and two connections.
+	requestsPerMegabyte = 4
 	// failedPause is how long a node whose disk failed waits before it ends, to
 	// be started again: a full disk may be emptied, a slow one recover.
 	failedPause = time.Second
@@ -73,14 +76,15 @@
 func (n *Node) openGateway(lister discovery.Lister) {
 	s := n.cfg.Settings.Site
 	g := gateway.New(gateway.Config{
-		Node:       n.cfg.Settings.Node,
-		DataCentre: n.cfg.Settings.DataCentre,
-		Link:       n.link,
-		Nodes:      n.endpoint,
-		Protocol:   platform.Protocol{},
-		RetryRatio: s.RetryRatio,
-		RetrySlack: s.RetrySlack,
-		Log:        n.cfg.Log,
+		Node:        n.cfg.Settings.Node,
+		DataCentre:  n.cfg.Settings.DataCentre,
+		Link:        n.link,
+		Nodes:       n.endpoint,
+		Protocol:    platform.Protocol{},
+		RetryRatio:  s.RetryRatio,
+		RetrySlack:  s.RetrySlack,
+		MaxInFlight: s.MemoryMegabytes * requestsPerMegabyte,
+		Log:         n.cfg.Log,
 	})
 	n.site.gateway = g
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -105,7 +105,6 @@
 
 // ForecastRequest is what the choice depends on.
 type ForecastRequest struct {
-	ID    routing.RequestID
 	Parts []routing.Part
 	// Prompt is the whole prompt, 0 for a plain service.
 	Prompt fleet.Tokens
--- a/routing/config.go
+++ b/routing/config.go
@@ -90,10 +90,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is how many requests an engine works on at once.
-	Slots int `json:"slots"`
-	// CacheTokens is the memory that running requests and cached prompts share.
-	CacheTokens fleet.Tokens `json:"cacheTokens"`
 	// EventTokens is how many output tokens one event of a stream holds.
 	EventTokens fleet.Tokens `json:"eventTokens"`
 }
@@ -110,10 +106,8 @@
 
 // Limits bound what a caller may send. Zero fields set no bound.
 type Limits struct {
-	HeaderBytes   int           `json:"headerBytes,omitempty"`
-	BodyBytes     int64         `json:"bodyBytes,omitempty"`
-	HeaderTimeout time.Duration `json:"headerTimeout,omitempty"`
-	IdleTimeout   time.Duration `json:"idleTimeout,omitempty"`
+	HeaderBytes int   `json:"headerBytes,omitempty"`
+	BodyBytes   int64 `json:"bodyBytes,omitempty"`
 }
 
 // Check returns an error that names the first rule that the configuration breaks.
--- a/routing/request.go
+++ b/routing/request.go
@@ -30,9 +30,7 @@
 	// Prompt and MaxOutput are the tokens that the request may cost at most.
 	Prompt    fleet.Tokens
 	MaxOutput fleet.Tokens
-	// OutputHint is the caller's estimate of the output, 0 for none.
-	OutputHint fleet.Tokens
-	Parts      []Part
+	Parts     []Part
 	// After is the last event that the caller has of an earlier run.
 	After string
 }
