--- a/control/replica.go
+++ b/control/replica.go
@@ -42,8 +42,11 @@
 const (
 	maxBatch = 512
 	// snapshotLogBytes and snapshotEntries bound the log that a restart must
-	// replay.
-	snapshotLogBytes = 16 << 20
+	// replay: a megabyte takes a tenth of a core some tenths of a second. Where
+	// the state is large, the log may grow to snapshotTimes of it, so that
+	// writing snapshots does not cost more than the log.
+	snapshotLogBytes = 1 << 20
+	snapshotTimes    = 4
 	snapshotEntries  = 20_000
 )
 
@@ -95,6 +98,8 @@
 	directAt  map[fleet.NodeID]time.Duration
 	waiting   map[consensus.Index]waiter
 	wasLeader bool
+	// snapshotBytes is the size of the latest snapshot.
+	snapshotBytes int64
 	// presence is what this replica has seen of holders while it led.
 	presence presence
 	// ledSince is when this replica began to lead.
@@ -168,23 +173,24 @@
 			Entries:           contents.Entries,
 			Now:               now,
 		}),
-		machine:     restored,
-		applied:     contents.Snapshot.Index,
-		table:       roster.New(),
-		peers:       map[fleet.NodeID]Announcement{},
-		heardAt:     map[fleet.NodeID]time.Duration{},
-		contacts:    loadContacts(cfg),
-		direct:      map[fleet.NodeID]roster.Report{},
-		directAt:    map[fleet.NodeID]time.Duration{},
-		waiting:     map[consensus.Index]waiter{},
-		broken:      make(chan struct{}),
-		presence:    presence{},
-		messages:    make(chan consensus.Message, 4096),
-		proposals:   make(chan proposal, 4096),
-		work:        make(chan func(), 256),
-		ctx:         ctx,
-		cancel:      cancel,
-		subscribers: map[*subscriber]struct{}{},
+		machine:       restored,
+		applied:       contents.Snapshot.Index,
+		table:         roster.New(),
+		peers:         map[fleet.NodeID]Announcement{},
+		heardAt:       map[fleet.NodeID]time.Duration{},
+		contacts:      loadContacts(cfg),
+		direct:        map[fleet.NodeID]roster.Report{},
+		directAt:      map[fleet.NodeID]time.Duration{},
+		waiting:       map[consensus.Index]waiter{},
+		snapshotBytes: int64(len(contents.Snapshot.Data)),
+		broken:        make(chan struct{}),
+		presence:      presence{},
+		messages:      make(chan consensus.Message, 4096),
+		proposals:     make(chan proposal, 4096),
+		work:          make(chan func(), 256),
+		ctx:           ctx,
+		cancel:        cancel,
+		subscribers:   map[*subscriber]struct{}{},
 	}
 	cfg.Log.Info(event.ReplicaOpened).
 		Uint64("replica", uint64(id)).
@@ -422,7 +428,8 @@
 // maybeCompact takes a snapshot when the log has grown.
 func (r *Replica) maybeCompact() {
 	behind := r.applied - r.core.SnapshotIndex()
-	if r.failed != nil || behind < snapshotEntries && (behind < 100 || r.journal.LogBytes() < snapshotLogBytes) {
+	logBytes := max(snapshotLogBytes, snapshotTimes*r.snapshotBytes)
+	if r.failed != nil || behind < snapshotEntries && (behind < 100 || r.journal.LogBytes() < logBytes) {
 		return
 	}
 	data, err := r.machine.snapshot()
@@ -430,6 +437,7 @@
 		r.fail(err)
 		return
 	}
+	r.snapshotBytes = int64(len(data))
 	snapshot := r.core.Compact(r.applied, data)
 	if err := r.journal.SaveSnapshot(snapshot, r.core.HardState(), r.core.Entries()); err != nil {
 		r.fail(err)
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -28,6 +28,9 @@
 	// silence is the time without an update after which another replica is
 	// tried. Updates come at least each half second.
 	silence = 1300 * time.Millisecond
+	// staleTolerance is how long a replica may be behind its leader before the
+	// control group counts as lost: a busy replica is, for moments.
+	staleTolerance = 400 * time.Millisecond
 	// stalePatience is how long a stale replica is kept when no other is at
 	// hand. Staleness itself takes 1.5 s to show.
 	stalePatience = 700 * time.Millisecond
@@ -331,13 +334,18 @@
 		if err != nil {
 			return err
 		}
+		switch {
+		case !update.Stale:
+			staleSince = time.Time{}
+		case staleSince.IsZero():
+			staleSince = time.Now()
+		}
 		l.takeUpdate(address, update, known)
 		if !update.Stale {
-			staleSince = time.Time{}
 			continue
 		}
-		if staleSince.IsZero() {
-			staleSince = time.Now()
+		if time.Since(staleSince) > staleTolerance {
+			l.fresh.Store(false)
 		}
 		if time.Since(staleSince) > stalePatience && len(l.Replicas()) > 1 {
 			return eris.Errorf("uplink: replica %s has no leader", address)
@@ -349,9 +357,6 @@
 	if !update.Stale && !l.fresh.Swap(true) {
 		l.cfg.Log.Info(event.ControlConnected).Str("replica", address.String()).Msg("follows a control replica")
 	}
-	if update.Stale {
-		l.fresh.Store(false)
-	}
 	if update.Ended && l.joined.Load() && !l.rejected.Swap(true) {
 		l.cfg.Log.Error(event.HolderRejected).Msg("this life of the node has ended for the ledger; it serves nothing more")
 	}
