A node whose disk failed says so and the command ends it; a stopped gateway closes once

Read as a newcomer: a library function ended the process, and a stopping node cleared a field that other goroutines read. No behaviour changes beside that.

--- a/command/serve.go
+++ b/command/serve.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -46,8 +47,10 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	for (<-signals) == syscall.SIGHUP {
-		reload(c.Settings, log, n)
+	if failed := await(signals, n.Failed(), func() { reload(c.Settings, log, n) }); failed {
+		time.Sleep(failedPause)
+		log.Error(event.NodeFailed).Msg("ends to be started again, because the disk failed")
+		return eris.New("the disk failed")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -59,6 +62,25 @@
 	return nil
 }
 
+// failedPause is how long a node whose disk failed waits before it ends, to be started
+// again: a full disk may be emptied, a slow one recover.
+const failedPause = time.Second
+
+// await returns at a signal to stop, or reports true when the node has failed.
+func await(signals <-chan os.Signal, failed <-chan struct{}, reload func()) bool {
+	for {
+		select {
+		case <-failed:
+			return true
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return false
+			}
+			reload()
+		}
+	}
+}
+
 // reload reads the settings again. The node takes from them what can change while it
 // runs; the rest waits for the next start.
 func reload(path string, log *event.Log, n *node.Node) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,8 +52,7 @@
 	reserved fleet.Tokens
 	// short tells why there was no quota.
 	short *quota.Shortage
-	// mayHaveRun is set once an instance may have begun the work, prompted once
-	// its prompt was certainly or possibly read.
+	// mayHaveRun is set once an instance may have begun the work.
 	mayHaveRun bool
 	attempts   int
 	connects   int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,8 +86,10 @@
 	listMu sync.Mutex
 	listAt time.Duration
 	// pushed is the latest whole list from the control group.
-	pushed    []routing.Instance
+	pushed []routing.Instance
+	// confirmed holds the ended holders that were confirmed, or are being so.
 	confirmed sync.Map
+	closing   sync.Once
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
@@ -303,15 +305,18 @@
 	return entries
 }
 
-// Close gives the leases back and ends the server. Requests must have ended.
+// Close gives the leases back and ends the server. Requests must have ended. A second
+// call does nothing.
 func (s *Server) Close(ctx context.Context) error {
 	var err error
-	if keeper := s.keeper.Load(); keeper != nil {
-		err = keeper.GiveAll(ctx)
-		keeper.Close()
-	}
-	s.cancel()
-	s.dispatch.Close()
-	s.wait.Wait()
+	s.closing.Do(func() {
+		if keeper := s.keeper.Load(); keeper != nil {
+			err = keeper.GiveAll(ctx)
+			keeper.Close()
+		}
+		s.cancel()
+		s.dispatch.Close()
+		s.wait.Wait()
+	})
 	return err
 }
--- a/node/site.go
+++ b/node/site.go
@@ -5,7 +5,6 @@
 	stdlog "log"
 	"net/http"
 	"net/netip"
-	"os"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -36,15 +35,12 @@
 	// requestsPerMegabyte bounds the requests under way by the process's memory: a
 	// request holds its body, some ten kilobytes, and two connections.
 	requestsPerMegabyte = 4
-	// failedPause is how long a node whose disk failed waits before it ends, to
-	// be started again: a full disk may be emptied, a slow one recover.
-	failedPause = time.Second
 )
 
 // site is what a node has that serves routed requests or their configuration.
 type site struct {
 	gateway *gateway.Server
-	reader  *discovery.Reader
+	readers []*discovery.Reader
 	servers []*http.Server
 	front   *http.Server
 }
@@ -60,19 +56,23 @@
 		n.openGateway(lister)
 	}
 	if n.replica != nil {
-		n.site.reader = discovery.New(discovery.Config{
+		n.read(discovery.Config{
 			Lister:  lister,
 			Pause:   func() time.Duration { return discovery.Interval },
 			Due:     n.Leads,
 			Deliver: n.replica.SetInstances,
-			Log:     n.cfg.Log,
 		})
-		n.wait.Go(n.watchReplica)
 	}
 	n.endpoint.Start()
 	return n.serveSite()
 }
 
+// read starts a reader of the instance list.
+func (n *Node) read(cfg discovery.Config) {
+	cfg.Log = n.cfg.Log
+	n.site.readers = append(n.site.readers, discovery.New(cfg))
+}
+
 func (n *Node) openGateway(lister discovery.Lister) {
 	s := n.cfg.Settings.Site
 	g := gateway.New(gateway.Config{
@@ -90,12 +90,11 @@
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
 	n.link.SetHandler(g)
 	n.link.SetWatcher(g)
-	n.site.reader = discovery.New(discovery.Config{
+	n.read(discovery.Config{
 		Lister:  lister,
 		Pause:   func() time.Duration { return discovery.FallbackPause(len(n.link.Roster()), s.InstanceListRate) },
 		Due:     func() bool { return g.ListAge() > discovery.StaleAfter },
 		Deliver: g.Read,
-		Log:     n.cfg.Log,
 	})
 	n.wait.Go(func() {
 		n.join()
@@ -181,21 +180,14 @@
 	gateway.NewMetrics().Write(w)
 }
 
-// watchReplica ends the process when the replica's disk has failed: what it holds can
-// only be told by opening it anew.
-func (n *Node) watchReplica() {
-	select {
-	case <-n.ctx.Done():
-	case <-n.replica.Failed():
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-time.After(failedPause):
-		}
-		n.cfg.Log.Error(event.NodeFailed).Msg("ends to be started again, because the disk failed")
-		n.cfg.Log.Close()
-		os.Exit(1)
+// Failed is closed when a node of a site must be started again, because its disk failed:
+// what the disk holds can only be told by opening it anew. It is nil, which never
+// happens, on other nodes.
+func (n *Node) Failed() <-chan struct{} {
+	if n.site == nil || n.replica == nil {
+		return nil
 	}
+	return n.replica.Failed()
 }
 
 // configurator implements platform.Configurator by the control group.
@@ -250,7 +242,6 @@
 	if err := g.Close(give); err != nil {
 		n.cfg.Log.Warn(event.NodeCut).Err(err).Msg("leases could not be given back; what they hold counts as spent")
 	}
-	n.site.gateway = nil
 }
 
 // closeSite closes what is open, for a stop or a crash.
@@ -264,8 +255,8 @@
 	if n.site.front != nil {
 		_ = n.site.front.Close()
 	}
-	if n.site.reader != nil {
-		n.site.reader.Close()
+	for _, reader := range n.site.readers {
+		reader.Close()
 	}
 	if n.site.gateway != nil {
 		ended, cancel := context.WithCancel(context.Background())
