--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -221,7 +221,7 @@
 				Instance:  s.instance,
 				Predicted: wait,
 				Uncached:  uncached,
-				LoadAge:   now - s.reportedAt,
+				LoadAge:   s.loadAge(now),
 				started:   now,
 			}
 		}
