--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,22 +49,34 @@
 	labels := `route="` + route + `",status="` + strconv.Itoa(status) + `",cause="` + string(cause) + `"`
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.add(series{name: "waxwingreel_requests_total", labels: labels})
-	m.observe(series{name: "waxwingreel_request_seconds", labels: `route="` + route + `"`}, took)
+	m.add(series{
+		name:   "waxwingreel_requests_total",
+		labels: labels,
+	})
+	m.observe(series{
+		name:   "waxwingreel_request_seconds",
+		labels: `route="` + route + `"`,
+	}, took)
 }
 
 // FirstByte measures the time until an answer began.
 func (m *Metrics) FirstByte(route string, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.observe(series{name: "waxwingreel_first_byte_seconds", labels: `route="` + route + `"`}, took)
+	m.observe(series{
+		name:   "waxwingreel_first_byte_seconds",
+		labels: `route="` + route + `"`,
+	}, took)
 }
 
 // Count adds one to a counter with a cause.
 func (m *Metrics) Count(name, cause string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.add(series{name: "waxwingreel_" + name + "_total", labels: `cause="` + cause + `"`})
+	m.add(series{
+		name:   "waxwingreel_" + name + "_total",
+		labels: `cause="` + cause + `"`,
+	})
 }
 
 func (m *Metrics) add(s series) {
--- a/node/site.go
+++ b/node/site.go
@@ -112,10 +112,22 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{address: listen.Ready, handler: platform.ReadyHandler(n.siteReady)},
-		{address: listen.Directory, handler: platform.DirectoryHandler(n.entries, directoryTTL)},
-		{address: listen.Control, handler: platform.ControlHandler(configurator{node: n})},
-		{address: listen.Metrics, handler: http.HandlerFunc(n.writeMetrics)},
+		{
+			address: listen.Ready,
+			handler: platform.ReadyHandler(n.siteReady),
+		},
+		{
+			address: listen.Directory,
+			handler: platform.DirectoryHandler(n.entries, directoryTTL),
+		},
+		{
+			address: listen.Control,
+			handler: platform.ControlHandler(configurator{node: n}),
+		},
+		{
+			address: listen.Metrics,
+			handler: http.HandlerFunc(n.writeMetrics),
+		},
 	}
 	for _, h := range handlers {
 		if !h.address.IsValid() {
