--- a/ledger/image.go
+++ b/ledger/image.go
@@ -48,6 +48,7 @@
 	Last        LeaseResult      `json:"last"`
 	Recalling   bool             `json:"recalling"`
 	AnsweredAt  fleet.UnixMillis `json:"answeredAt"`
+	Granted     bool             `json:"granted,omitempty"`
 	Limit       fleet.Tokens     `json:"limit,omitempty"`
 	Slope       fleet.Tokens     `json:"slope,omitempty"`
 	At          time.Duration    `json:"at,omitempty"`
@@ -142,6 +143,7 @@
 			Last:        l.last,
 			Recalling:   l.recalling,
 			AnsweredAt:  l.answeredAt,
+			Granted:     l.grantedSince,
 			Limit:       l.limit,
 			Slope:       l.slope,
 			At:          l.at,
@@ -230,13 +232,14 @@
 	}
 	for _, l := range image.Leases {
 		a.leases[l.Holder] = &lease{
-			outstanding: l.Outstanding,
-			last:        l.Last,
-			recalling:   l.Recalling,
-			answeredAt:  l.AnsweredAt,
-			limit:       l.Limit,
-			slope:       l.Slope,
-			at:          l.At,
+			outstanding:  l.Outstanding,
+			last:         l.Last,
+			recalling:    l.Recalling,
+			answeredAt:   l.AnsweredAt,
+			grantedSince: l.Granted,
+			limit:        l.Limit,
+			slope:        l.Slope,
+			at:           l.At,
 		}
 		a.leased += l.Outstanding
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -97,6 +97,9 @@
 	last        LeaseResult
 	recalling   bool
 	answeredAt  fleet.UnixMillis
+	// grantedSince says that the holder got quota after its latest answer to a
+	// recall, so that it may have something to give back.
+	grantedSince bool
 	// limit, slope and at are those of the latest change.
 	limit fleet.Tokens
 	slope fleet.Tokens
@@ -234,12 +237,14 @@
 	if c.AnswersRecall {
 		l.recalling = false
 		l.answeredAt = s.now
+		l.grantedSince = false
 	}
 	result := LeaseResult{
 		Seq:     c.Seq,
 		Granted: a.grant(c, l.outstanding, s.now),
 	}
 	l.outstanding += result.Granted
+	l.grantedSince = l.grantedSince || result.Granted > 0
 	a.leased += result.Granted
 	result.Free = a.free()
 	result.LeasedElsewhere = a.leased - l.outstanding
@@ -298,7 +303,7 @@
 		if holder == asker || l.outstanding == 0 || l.recalling {
 			continue
 		}
-		if l.answeredAt != 0 && s.now < l.answeredAt.Add(recallPause) {
+		if l.answeredAt != 0 && s.now < l.answeredAt.Add(recallPause) && !(a.metered && l.grantedSince) {
 			continue
 		}
 		l.recalling = true
--- a/ledger/metered_test.go
+++ b/ledger/metered_test.go
@@ -73,3 +73,52 @@
 		t.Errorf("got %d granted to a wish later, want 400", got.Granted)
 	}
 }
+
+// TestHolderThatWasGrantedMoreIsRecalledAgain has a holder answer a recall, take quota
+// again at once, and another need it: the pause between recalls must not make the budget
+// look spent while the holder has plenty.
+func TestHolderThatWasGrantedMoreIsRecalledAgain(t *testing.T) {
+	s := New()
+	s.Advance(1_000_000)
+	s.Meter("w", 1000)
+	a := fleet.Holder{
+		Node:        "a",
+		Incarnation: 1,
+	}
+	b := fleet.Holder{
+		Node:        "b",
+		Incarnation: 1,
+	}
+	s.Join(a)
+	s.Join(b)
+	change := func(holder fleet.Holder, seq uint64, give, need fleet.Tokens) LeaseResult {
+		result, _ := s.ChangeLease(LeaseChange{
+			Holder:        holder,
+			Budget:        "w",
+			Seq:           seq,
+			Give:          give,
+			Need:          need,
+			HoldPerMille:  900,
+			AnswersRecall: give > 0,
+		})
+		return result
+	}
+	change(a, 1, 0, 900)
+	if got := change(b, 1, 0, 600); !got.Recalling {
+		t.Fatalf("got %+v, want a recall", got)
+	}
+	change(a, 2, 900, 0)
+	// The holder needs quota again before the other one asks.
+	change(a, 3, 0, 800)
+	if got := change(b, 2, 0, 600); got.Granted == 0 && !got.Recalling {
+		t.Errorf("got %+v, want another recall: the holder has 800", got)
+	}
+	change(a, 4, 800, 0)
+	if got := change(b, 3, 0, 600); got.Granted != 600 {
+		t.Errorf("got %d granted, want 600", got.Granted)
+	}
+	// Now the holder has nothing to give and was granted nothing since.
+	if got := change(b, 4, 0, 500); got.Granted != 0 || got.Recalling {
+		t.Errorf("got %+v, want that nobody is left to ask", got)
+	}
+}
