--- a/node/site.go
+++ b/node/site.go
@@ -26,8 +26,9 @@
 	// listsKept is how many times longer some callers keep it.
 	listsKept = 3
 	// stopReserve is the part of a planned stop that is kept for giving leases
-	// back and for closing, which takes a slow VM about a second.
-	stopReserve = 1500 * time.Millisecond
+	// back and for closing. What runs is cut off before it, so it must stay below
+	// the last sixth of the time, in which callers expect that.
+	stopReserve = time.Second
 	// heapPart is the part of the process's memory that the runtime may use
 	// before it collects harder. The rest is for stacks, buffers of the kernel
 	// and what is in flight.
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -228,3 +228,12 @@
 		t.Error("the planned stop took longer than its time")
 	}
 }
+
+// TestStopServesIntoTheLastSixth keeps the end of a planned stop short: callers expect to
+// be cut off in the last sixth of its time, and no sooner.
+func TestStopServesIntoTheLastSixth(t *testing.T) {
+	const stop = 8 * time.Second
+	if got, want := stop-stopReserve, stop*5/6; got < want {
+		t.Errorf("got requests cut off after %v of %v, want %v at the soonest", got, stop, want)
+	}
+}
