--- a/consensus/core.go
+++ b/consensus/core.go
@@ -203,6 +203,12 @@
 	return c.role == RoleLeader && !c.transferring && c.commit >= c.termStart && now < c.leaseEnd()
 }
 
+// Applied reports whether the replica has handed out all that it knows to be committed.
+// Between Step and Persisted it may not have.
+func (c *Core) Applied() bool {
+	return c.applied >= c.commit
+}
+
 func (c *Core) leaseEnd() time.Duration {
 	return c.quorumHeard() + c.cfg.ElectionTimeout*9/10
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -84,7 +84,7 @@
 		answer.Replica = &status
 		return answer
 	}
-	if r.failed != nil || !r.core.HoldsLease(clock.Boot()) {
+	if !r.mayAnswer() {
 		answer.Status = SubmitNotLeader
 		return answer
 	}
@@ -108,6 +108,15 @@
 	return answer
 }
 
+// mayAnswer reports whether this replica's state is the newest that was acknowledged: it
+// holds the leader's lease and has carried out all that is committed. A message that
+// commits entries and a question may come in one round of the loop, in which the question
+// is answered before the entries are carried out; after an election these are all that
+// the last leader acknowledged.
+func (r *Replica) mayAnswer() bool {
+	return r.failed == nil && r.core.HoldsLease(clock.Boot()) && r.core.Applied()
+}
+
 func (r *Replica) status() ReplicaStatus {
 	now := clock.Boot()
 	status := ReplicaStatus{
