A planned stop keeps what its running requests may spend

Cause: the change that gives a lease back named a limit of 0, also where requests were under way. What the stop cut off was then returned uncharged when the node started again, an overspend of about one request.

--- a/lease/metered_test.go
+++ b/lease/metered_test.go
@@ -277,3 +277,32 @@
 		t.Errorf("got %d still leased, want 0", view.Leased)
 	}
 }
+
+// TestStoppedNodeIsChargedForWhatIsUnderWay stops a node while a request runs that is cut
+// off by the stop: what was set aside for it may be spent, and must not come back.
+func TestStoppedNodeIsChargedForWhatIsUnderWay(t *testing.T) {
+	w := &meteredWorld{
+		state:   ledger.New(),
+		prepaid: 100_000,
+		now:     time.Minute,
+	}
+	w.state.Meter(testBudget, w.prepaid)
+	n := &meteredNode{}
+	w.nodes = append(w.nodes, n)
+	w.start(n, "a", "boot", false)
+	n.pool.SetNeed(testBudget, 4000, w.now)
+	w.send(n)
+	w.deliver(0, false)
+	if !n.pool.Reserve(testBudget, 4000, w.now) {
+		t.Fatal("got no quota, want it for the request")
+	}
+	for _, change := range n.pool.GiveAll() {
+		w.state.ChangeLease(change)
+	}
+	w.now += time.Second
+	w.start(n, "a", "boot", false)
+	view, _ := w.state.Budget(testBudget)
+	if got, want := view.Settled, fleet.Tokens(4000); got < want {
+		t.Errorf("got %d settled, want at least the %d of the request under way", got, want)
+	}
+}
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -498,6 +498,7 @@
 		}
 		change := p.change(id, q)
 		change.Give = q.free
+		change.Limit = q.reserved
 		q.free = 0
 		changes = append(changes, *change)
 	}
