Parts of shared limits follow the number of entry nodes

Cause: a node worked out its part of each prepaid total only when a configuration came, and its part of the retry budget when it first saw a service. A node that started with others heard of them one by one, so it took the part of the first count it saw: with 65 nodes up to all of the retry slack each, and quota that the later nodes lacked. Ruled out: asking for the roster at each use, which walks all rows for each request. Now the link tells the watcher when the number changes.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -21,6 +21,10 @@
 // nodes that count their number differently for a moment.
 const retryMargin = 0.8
 
+// manyNodes stands for the number of nodes that share a limit until it is known: a part
+// that is too small for a moment is better than the whole taken by each.
+const manyNodes = 100
+
 // dispatcher owns the forecasts and the retry budgets. Their state belongs to one
 // goroutine.
 type dispatcher struct {
@@ -30,16 +34,16 @@
 	retries   map[fleet.ServiceID]*retry.Budget
 	instances map[fleet.BackendServerID]routing.Instance
 	listedAt  time.Duration
+	// sharers is how many nodes share the retry budgets.
+	sharers int
 }
 
 type dispatchConfig struct {
 	dataCentre fleet.DataCentre
 	seed       uint64
-	// ratio and slack are the retry budget that all nodes share, nodes how many
-	// share it.
+	// ratio and slack are the retry budget that all nodes share.
 	ratio float64
 	slack float64
-	nodes func() int
 	// keep returns how many idle connections to keep to an instance of a service.
 	keep  func(fleet.ServiceID) int
 	conns *backend.Conns
@@ -53,6 +57,7 @@
 		forecasts: map[fleet.ServiceID]*placement.Forecast{},
 		retries:   map[fleet.ServiceID]*retry.Budget{},
 		instances: map[fleet.BackendServerID]routing.Instance{},
+		sharers:   manyNodes,
 	}
 	d.Start(dispatchTick, func() {}, func() {})
 	return d
@@ -137,13 +142,28 @@
 	if !ok {
 		b = retry.New(retry.Config{
 			Ratio: d.cfg.ratio * retryMargin,
-			Burst: d.cfg.slack * retryMargin / float64(max(d.cfg.nodes(), 1)),
+			Burst: d.burst(),
 		})
 		d.retries[service] = b
 	}
 	return b
 }
 
+// burst is the part of the shared slack that this node may use at once.
+func (d *dispatcher) burst() float64 {
+	return d.cfg.slack * retryMargin / float64(d.sharers)
+}
+
+// share takes in how many nodes share the retry budgets.
+func (d *dispatcher) share(nodes int) {
+	d.Do(func() {
+		d.sharers = nodes
+		for _, b := range d.retries {
+			b.SetBurst(d.burst())
+		}
+	})
+}
+
 // pick chooses an instance. The first choice for a request counts it towards the
 // retry budget. It also returns the age of the list of instances. What was placed is
 // changed by the dispatcher's goroutine; others read only its exported fields.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	metrics  *Metrics
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// sharers is how many entry nodes share budgets and limits, 0 until known.
+	sharers atomic.Int64
 
 	listMu sync.Mutex
 	listAt time.Duration
@@ -111,7 +113,6 @@
 		seed:       rand.Uint64(),
 		ratio:      cfg.RetryRatio,
 		slack:      cfg.RetrySlack,
-		nodes:      s.nodes,
 		keep:       s.keepIdle,
 		conns:      s.conns,
 		log:        cfg.Log,
@@ -121,13 +122,14 @@
 
 // nodes is how many nodes answer callers, this one included.
 func (s *Server) nodes() int {
-	n := 0
-	for _, report := range s.cfg.Link.Roster() {
-		if report.Callers.IsValid() && report.State != roster.StateDead {
-			n++
-		}
-	}
-	return max(n, 1)
+	return max(int(s.sharers.Load()), 1)
+}
+
+// Shared implements uplink.Watcher.
+func (s *Server) Shared(nodes int) {
+	s.sharers.Store(int64(nodes))
+	s.dispatch.share(s.nodes())
+	s.hold()
 }
 
 // keepIdle returns how many idle connections to keep to an instance of a service: few
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// SetBurst changes how many retries can be saved up. What is saved changes in
+// proportion, so that several budgets that share a bound keep to it together.
+func (b *Budget) SetBurst(burst float64) {
+	if b.burst > 0 {
+		b.saved *= burst / b.burst
+	}
+	b.burst = burst
+}
+
 // Request counts a first attempt.
 func (b *Budget) Request() {
 	b.saved = min(b.saved+b.ratio, b.burst)
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -65,6 +65,9 @@
 	Configured(view *routing.View)
 	// Listed hears of a newer list of instances.
 	Listed(list control.InstanceList)
+	// Shared hears how many entry nodes share budgets and limits, this one
+	// included, whenever that changes.
+	Shared(nodes int)
 }
 
 // Store keeps the configuration across restarts.
@@ -103,6 +106,7 @@
 	replicas atomic.Pointer[[]netip.AddrPort]
 	view     atomic.Pointer[catalog.View]
 	reports  atomic.Pointer[[]roster.Report]
+	sharers  atomic.Int64
 	leader   atomic.Pointer[netip.AddrPort]
 	fresh    atomic.Bool
 	rejected atomic.Bool
@@ -149,6 +153,9 @@
 // requests, and tells it of the configuration in force.
 func (l *Link) SetWatcher(w Watcher) {
 	l.watcher.Store(&w)
+	if n := l.sharers.Load(); n > 0 {
+		w.Shared(int(n))
+	}
 	if view := l.routing.Load(); view != nil {
 		w.Configured(view)
 	}
@@ -443,6 +450,23 @@
 		return 1
 	})
 	l.reports.Store(&reports)
+	l.countSharers(reports)
+}
+
+// countSharers tells the watcher when the number of entry nodes has changed.
+func (l *Link) countSharers(reports []roster.Report) {
+	n := int64(0)
+	for _, report := range reports {
+		if report.Callers.IsValid() && report.State != roster.StateDead {
+			n++
+		}
+	}
+	if l.sharers.Swap(n) == n {
+		return
+	}
+	if watcher := l.watcher.Load(); watcher != nil {
+		(*watcher).Shared(int(n))
+	}
 }
 
 // Submit hands a command to the leader and waits for its result until ctx ends.
