--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=lint/go.mod
 MODULE = github.com/waxwingreel/waxwingreel
 
-.PHONY: all build run test prove measure fuzz lint format release clean
+.PHONY: all build run test prove soak measure fuzz lint format release clean
 
 all: build
 
@@ -25,6 +25,13 @@
 prove:
 	WAXWINGREEL_PROVE=all $(GO) test -count=1 -timeout 15m -v ./prove
 
+# Fresh seeds of random faults over real processes, with the logs of those that fail:
+# make soak SEEDS=50, or SEEDS=seed=N for one again; SIZE=large for a fleet up to the
+# limits of a test machine.
+SEEDS ?= 8
+soak:
+	WAXWINGREEL_SOAK=$(SEEDS) WAXWINGREEL_SOAK_SIZE=$(SIZE) WAXWINGREEL_SOAK_LOGS=bin/soak $(GO) test -count=1 -timeout 60m -parallel 4 -v ./soak -run TestFresh
+
 # Measures everything again and rewrites the tables of docs/MEASURES.md, about 5
 # minutes.
 measure: build
--- a/command/serve.go
+++ b/command/serve.go
@@ -30,6 +30,10 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
+	// A signal that comes while the node starts must not end it, as an unhandled one
+	// does.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -45,8 +49,6 @@
 		log.Error(event.NodeFailed).Err(err).Msg("node could not start")
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	if failed := await(signals, n.Failed(), func() { reload(c.Settings, log, n) }); failed {
 		time.Sleep(failedPause)
 		log.Error(event.NodeFailed).Msg("ends to be started again, because the disk failed")
--- a/prove/act_test.go
+++ b/prove/act_test.go
@@ -42,9 +42,9 @@
 	case "stop":
 		f.plannedStop(f.node(words[1]))
 	case "freeze":
-		f.signal(f.node(words[1]), syscall.SIGSTOP)
+		f.node(words[1]).Signal(syscall.SIGSTOP)
 	case "thaw":
-		f.signal(f.node(words[1]), syscall.SIGCONT)
+		f.node(words[1]).Signal(syscall.SIGCONT)
 	case "wipe":
 		f.wipe(f.node(words[1]))
 	case "cut":
@@ -120,7 +120,7 @@
 	return f.server(name).relay
 }
 
-func (f *testFleet) plannedStop(p *process) {
+func (f *testFleet) plannedStop(p *nodeProcess) {
 	if code := f.end(p, syscall.SIGTERM, 40*time.Second); code != 0 {
 		f.t.Errorf("planned stop of %s: got exit code %d, want 0", p.name, code)
 	}
@@ -133,8 +133,8 @@
 	}
 }
 
-func (f *testFleet) wipe(p *process) {
-	if p.command != nil {
+func (f *testFleet) wipe(p *nodeProcess) {
+	if p.Running() {
 		f.t.Errorf("wipe %s: it is running", p.name)
 		return
 	}
@@ -173,14 +173,14 @@
 
 // race lets two operators send different tickets of one number through two nodes at
 // once, and then again: exactly one must win, and both must hear the same.
-func (f *testFleet) race(first, second *process) {
+func (f *testFleet) race(first, second *nodeProcess) {
 	f.ticket++
 	type result struct {
 		code     int
 		accepted bool
 	}
 	results := make(chan result, 2)
-	for i, p := range []*process{first, second} {
+	for i, p := range []*nodeProcess{first, second} {
 		go func() {
 			answer := struct {
 				Outcome struct {
--- a/prove/case_test.go
+++ b/prove/case_test.go
@@ -214,7 +214,7 @@
 func (f *testFleet) recover() {
 	f.network.Mend()
 	for _, p := range f.nodes {
-		f.signal(p, syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 		f.start(p)
 	}
 	f.awaitReady(30 * time.Second)
--- a/prove/fleet_test.go
+++ b/prove/fleet_test.go
@@ -12,10 +12,8 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +22,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/loopback"
 	"github.com/waxwingreel/waxwingreel/operator"
+	"github.com/waxwingreel/waxwingreel/process"
 	"github.com/waxwingreel/waxwingreel/relay"
 	"github.com/waxwingreel/waxwingreel/settings"
 	"github.com/waxwingreel/waxwingreel/standin"
@@ -51,10 +50,9 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "waxwingreel")
-	arguments := []string{"build", "-o", binary, "../cmd/waxwingreel"}
-	if out, err := exec.Command("go", arguments...).CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	binary, err = process.Build(folder, "../cmd/waxwingreel")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
@@ -84,14 +82,13 @@
 	spares int
 }
 
-// process is one node's process with its relays.
-type process struct {
+// nodeProcess is one node's process with its relays.
+type nodeProcess struct {
+	*process.Process
 	name     string
 	settings settings.Settings
 	path     string
 	logPath  string
-	command  *exec.Cmd
-	exited   chan struct{}
 	// gone is true once a ticket has called the VM gone.
 	gone    bool
 	callers *relay.TCP
@@ -114,11 +111,10 @@
 	shape   shape
 	folder  string
 	network *relay.Network
-	nodes   []*process
+	nodes   []*nodeProcess
 	servers []*server
 	ticket  fleet.TicketNumber
 	objects catalog.Ticket
-	mu      sync.Mutex
 }
 
 func freeAddress(t *testing.T, network string) netip.AddrPort {
@@ -174,7 +170,7 @@
 }
 
 func (f *testFleet) addNode(name string, i int) {
-	p := &process{
+	p := &nodeProcess{
 		name:    name,
 		path:    filepath.Join(f.folder, name+".jsonc"),
 		logPath: filepath.Join(f.folder, name+".log"),
@@ -198,6 +194,11 @@
 			},
 		},
 	}
+	p.Process = process.New(process.Config{
+		Binary:    binary,
+		Arguments: []string{"serve", "--settings", p.path},
+		Log:       p.logPath,
+	})
 	f.network.Name(p.settings.Listen.Wire, name)
 	udp, err := relay.NewUDP(f.network, name, p.settings.Advertise.Wire, p.settings.Listen.Wire)
 	if err != nil {
@@ -215,7 +216,7 @@
 	f.nodes = append(f.nodes, p)
 }
 
-func (f *testFleet) writeSettings(p *process) {
+func (f *testFleet) writeSettings(p *nodeProcess) {
 	text, err := json.MarshalIndent(p.settings, "", "  ")
 	if err != nil {
 		f.t.Fatal(err)
@@ -270,7 +271,7 @@
 	f.servers = append(f.servers, s)
 }
 
-func (f *testFleet) node(name string) *process {
+func (f *testFleet) node(name string) *nodeProcess {
 	for _, p := range f.nodes {
 		if p.name == name {
 			return p
@@ -291,67 +292,25 @@
 }
 
 // start starts a node's process; its log goes on in the same file.
-func (f *testFleet) start(p *process) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if p.command != nil {
-		return
-	}
-	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
+func (f *testFleet) start(p *nodeProcess) {
+	if err := p.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	command := exec.Command(binary, "serve", "--settings", p.path)
-	command.Stderr = log
-	command.Stdout = log
-	if err := command.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	p.command = command
-	p.exited = make(chan struct{})
-	exited := p.exited
-	go func() {
-		_ = command.Wait()
-		_ = log.Close()
-		close(exited)
-	}()
-}
-
-// signal sends a signal to a node's process.
-func (f *testFleet) signal(p *process, s syscall.Signal) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if p.command != nil {
-		_ = p.command.Process.Signal(s)
-	}
 }
 
 // end sends a signal that ends the process, and waits for it. It returns the exit
 // code, -1 for a process that a signal ended.
-func (f *testFleet) end(p *process, s syscall.Signal, limit time.Duration) int {
-	f.mu.Lock()
-	command, exited := p.command, p.exited
-	f.mu.Unlock()
-	if command == nil {
-		return 0
-	}
-	_ = command.Process.Signal(s)
-	select {
-	case <-exited:
-	case <-time.After(limit):
+func (f *testFleet) end(p *nodeProcess, s syscall.Signal, limit time.Duration) int {
+	code, inTime := p.End(s, limit)
+	if !inTime {
 		f.t.Errorf("node %s did not end within %s", p.name, limit)
-		_ = command.Process.Kill()
-		<-exited
 	}
-	f.mu.Lock()
-	p.command = nil
-	f.mu.Unlock()
-	return command.ProcessState.ExitCode()
+	return code
 }
 
 func (f *testFleet) close() {
 	for _, p := range f.nodes {
-		f.signal(p, syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 		f.end(p, syscall.SIGKILL, 5*time.Second)
 	}
 	if !f.t.Failed() {
@@ -477,7 +436,7 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for {
 		for _, p := range f.nodes {
-			if p.command == nil {
+			if !p.Running() {
 				continue
 			}
 			answer := operator.TicketAnswer{}
@@ -496,7 +455,7 @@
 	}
 }
 
-func (f *testFleet) put(p *process, ticket catalog.Ticket, answer *operator.TicketAnswer) (int, error) {
+func (f *testFleet) put(p *nodeProcess, ticket catalog.Ticket, answer *operator.TicketAnswer) (int, error) {
 	text, err := json.Marshal(ticket)
 	if err != nil {
 		f.t.Fatal(err)
@@ -505,7 +464,7 @@
 }
 
 // admin asks a node's operators' interface.
-func (f *testFleet) admin(p *process, method, path string, body []byte, answer any) (int, error) {
+func (f *testFleet) admin(p *nodeProcess, method, path string, body []byte, answer any) (int, error) {
 	request, err := http.NewRequest(method, "http://"+p.settings.Listen.Operators.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
@@ -524,7 +483,7 @@
 	return response.StatusCode, json.Unmarshal(text, answer)
 }
 
-func (f *testFleet) ready(p *process) bool {
+func (f *testFleet) ready(p *nodeProcess) bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + p.settings.Listen.Operators.String() + "/readyz")
 	if err != nil {
@@ -538,7 +497,7 @@
 func (f *testFleet) awaitReady(limit time.Duration) {
 	deadline := time.Now().Add(limit)
 	for _, p := range f.nodes {
-		for p.command != nil && !p.gone && !f.ready(p) {
+		for p.Running() && !p.gone && !f.ready(p) {
 			if time.Now().After(deadline) {
 				f.t.Fatalf("node %s is not ready after %s", p.name, limit)
 			}
@@ -568,7 +527,7 @@
 func (f *testFleet) status() operator.Status {
 	for _, p := range f.nodes {
 		status := operator.Status{}
-		if p.command == nil {
+		if !p.Running() {
 			continue
 		}
 		if code, err := f.admin(p, http.MethodGet, "/v1/status", nil, &status); err == nil && code == http.StatusOK && len(status.Replicas) > 0 {
@@ -583,7 +542,7 @@
 	for time.Now().Before(deadline) {
 		for _, p := range f.nodes {
 			answer := operator.BudgetAnswer{}
-			if p.command == nil {
+			if !p.Running() {
 				continue
 			}
 			if code, err := f.admin(p, http.MethodGet, "/v1/budgets/"+string(id), nil, &answer); err == nil && code == http.StatusOK {
--- /dev/null
+++ b/soak/operator_test.go
@@ -0,0 +1,318 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// workspaces and what they have prepaid at first. Each change of the configuration may
+// add to that, a little for the one that is short.
+var workspaces = []struct {
+	name    string
+	prepaid int64
+	added   int64
+}{
+	{
+		name:    "plenty",
+		prepaid: 50_000_000,
+	},
+	{
+		name:    "short",
+		prepaid: 60_000,
+		added:   15_000,
+	},
+	{
+		name:    "some",
+		prepaid: 400_000,
+		added:   100_000,
+	},
+}
+
+func keyOf(workspace string) string { return "key-of-" + workspace }
+
+// change is one configuration that the operator has sent.
+type change struct {
+	version uint64
+	// probes are the versions whose own route it has.
+	probes  []uint64
+	text    []byte
+	sent    time.Time
+	acked   time.Time
+	invalid bool
+}
+
+// operator changes the configuration and reads it back. It is safe for concurrent use.
+type operator struct {
+	w       *world
+	rng     *rand.Rand
+	client  http.Client
+	mu      sync.Mutex
+	changes []*change
+	total   map[string]int64
+	// content is what a version was first read back as.
+	content map[uint64]string
+}
+
+func newOperator(w *world) *operator {
+	o := &operator{
+		w:       w,
+		rng:     w.random(2),
+		client:  http.Client{Timeout: 2 * time.Second},
+		total:   map[string]int64{},
+		content: map[uint64]string{},
+	}
+	for _, ws := range workspaces {
+		o.total[ws.name] = ws.prepaid
+	}
+	return o
+}
+
+// prepaid returns the highest total that a workspace may have.
+func (o *operator) prepaid(workspace string) int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.total[workspace]
+}
+
+// next makes the next change.
+func (o *operator) next(invalid bool) *change {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := &change{
+		version: 1,
+		invalid: invalid,
+	}
+	if last := o.last(); last != nil {
+		c.version = last.version + 1 + o.rng.Uint64N(3)
+		c.probes = []uint64{last.version}
+		for _, ws := range workspaces {
+			if ws.added > 0 && !invalid && o.rng.IntN(3) == 0 {
+				o.total[ws.name] += ws.added
+			}
+		}
+	}
+	c.probes = append(c.probes, c.version)
+	c.text = o.document(c)
+	c.sent = time.Now()
+	if !invalid {
+		o.changes = append(o.changes, c)
+	}
+	return c
+}
+
+func (o *operator) last() *change {
+	if len(o.changes) == 0 {
+		return nil
+	}
+	return o.changes[len(o.changes)-1]
+}
+
+func probePath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
+func (o *operator) document(c *change) []byte {
+	route := func(name, prefix, kind, service string, timeout time.Duration, attempts int) map[string]any {
+		return map[string]any{
+			"name":         name,
+			"host":         host,
+			"path_prefix":  prefix,
+			"type":         kind,
+			"timeout_ms":   timeout.Milliseconds(),
+			"slo_ms":       500,
+			"priority":     0,
+			"service":      service,
+			"max_attempts": attempts,
+			"resumable":    kind == "streaming",
+			"gap_slo_ms":   400,
+		}
+	}
+	routes := []any{
+		route("once", "/once/", "non_idempotent", plainService, onceTimeout, 2),
+		route("lookup", "/lookup/", "idempotent", plainService, onceTimeout, 2),
+		route("stream", "/stream/", "streaming", engineService, streamTimeout, 2),
+	}
+	for _, v := range c.probes {
+		routes = append(routes, route(fmt.Sprintf("probe-%d", v), probePath(v), "idempotent", plainService, onceTimeout, 2))
+	}
+	if c.invalid {
+		routes = append(routes, route("broken", "/broken/", "idempotent", "no-such-service", onceTimeout, 2))
+	}
+	var tenants []any
+	for _, ws := range workspaces {
+		tenants = append(tenants, map[string]any{
+			"name":     ws.name,
+			"api_keys": []string{keyOf(ws.name)},
+			"prepaid":  o.total[ws.name],
+		})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": c.version,
+		"routes":  routes,
+		"services": []any{
+			map[string]any{
+				"name":            engineService,
+				"max_connections": 200,
+				"runtime": map[string]any{
+					"slots":  16,
+					"stride": eventTokens,
+				},
+			},
+			map[string]any{
+				"name":            plainService,
+				"max_connections": 100,
+			},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1 << 20},
+		"tenants": tenants,
+	})
+	if err != nil {
+		o.w.violate("soak", "%v", err)
+	}
+	return text
+}
+
+// send sends a change to one control VM after another until one acknowledges it.
+func (o *operator) send(c *change, limit time.Duration) bool {
+	deadline := time.Now().Add(limit)
+	for i := rand.IntN(8); time.Now().Before(deadline); i++ {
+		controls := o.w.controls()
+		v := controls[i%len(controls)]
+		response, err := o.client.Post("http://"+v.settings.Site.Listen.Control.String()+"/config/replace", "application/json", bytes.NewReader(c.text))
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		switch {
+		case response.StatusCode == http.StatusOK && c.invalid:
+			o.w.violate("configuration", "%s took an invalid version %d", v.name, c.version)
+			return true
+		case response.StatusCode == http.StatusOK:
+			o.mu.Lock()
+			if c.acked.IsZero() {
+				c.acked = time.Now()
+			}
+			o.mu.Unlock()
+			return true
+		case response.StatusCode/100 == 4 && response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusTooManyRequests:
+			if !c.invalid {
+				o.w.violate("configuration", "%s refused version %d with %d: %s", v.name, c.version, response.StatusCode, text)
+			}
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// newestAcked returns the highest version that was acknowledged by a time.
+func (o *operator) newestAcked(by time.Time) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	newest := uint64(0)
+	for _, c := range o.changes {
+		if !c.acked.IsZero() && !c.acked.After(by) {
+			newest = max(newest, c.version)
+		}
+	}
+	return newest
+}
+
+// read reads the configuration back from one VM. It reports whether that told it.
+func (o *operator) read(v *vm) bool {
+	began := time.Now()
+	response, err := o.client.Get("http://" + v.settings.Site.Listen.Control.String() + "/config/describe")
+	if err != nil {
+		return false
+	}
+	text, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil || response.StatusCode != http.StatusOK {
+		return false
+	}
+	got := struct {
+		Version uint64 `json:"version"`
+	}{}
+	if err := json.Unmarshal(text, &got); err != nil {
+		o.w.violate("configuration", "%s told something that is none: %v", v.name, err)
+		return false
+	}
+	if want := o.newestAcked(began); got.Version < want {
+		o.w.violate("configuration", "%s told version %d, %d was acknowledged before", v.name, got.Version, want)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := false
+	for _, c := range o.changes {
+		known = known || c.version == got.Version && bytes.Equal(c.text, text)
+	}
+	before, seen := o.content[got.Version]
+	if !known || seen && before != string(text) {
+		o.w.violate("configuration", "%s told a version %d that was not sent, or not the one in force", v.name, got.Version)
+	}
+	o.content[got.Version] = string(text)
+	return true
+}
+
+// expects tells whether a probe of a version's own route must be served, must not be, or
+// may be either.
+func (o *operator) expects(version uint64, sent, ended time.Time) (must, mustNot bool) {
+	newest := o.newestAcked(sent.Add(-configBound))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	must, mustNot = newest > 0, newest > 0
+	for _, c := range o.changes {
+		if c.version < newest || c.sent.After(ended) {
+			continue
+		}
+		has := false
+		for _, v := range c.probes {
+			has = has || v == version
+		}
+		must = must && has
+		mustNot = mustNot && !has
+	}
+	return must, mustNot
+}
+
+// change changes the configuration until the run ends, sometimes as two operators at
+// once, sometimes with an invalid one.
+func (o *operator) change() {
+	for !o.w.over(time.Duration(300+rand.IntN(900)) * time.Millisecond) {
+		switch rand.IntN(6) {
+		case 0:
+			o.send(o.next(true), time.Second)
+		case 1:
+			first := o.next(false)
+			second := &change{
+				version: first.version,
+				probes:  first.probes,
+				text:    bytes.Replace(first.text, []byte(`"slo_ms":500`), []byte(`"slo_ms":501`), 1),
+				sent:    time.Now(),
+			}
+			o.mu.Lock()
+			o.changes = append(o.changes, second)
+			o.mu.Unlock()
+			both := sync.WaitGroup{}
+			both.Go(func() { o.send(first, recoverBound) })
+			both.Go(func() { o.send(second, recoverBound) })
+			both.Wait()
+		default:
+			o.send(o.next(false), recoverBound)
+		}
+	}
+}
+
+// check reads the configuration back until the run ends.
+func (o *operator) check() {
+	for !o.w.over(200 * time.Millisecond) {
+		controls := o.w.controls()
+		o.read(controls[rand.IntN(len(controls))])
+	}
+}
--- /dev/null
+++ b/soak/start_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestReloadWhileStarting tells a process to read its settings again while it reads them
+// for the first time, from a pipe that holds it there. A process that did not expect the
+// signal yet was ended by it.
+func TestReloadWhileStarting(t *testing.T) {
+	w := newWorld(t, 0, size{control: 1})
+	v := w.vms[0]
+	text, err := os.ReadFile(v.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(v.path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(v.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.start(v)
+	// This returns when the process has opened the other end.
+	pipe, err := os.OpenFile(v.path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.Signal(syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond)
+	if err := os.Rename(v.path, v.path+".pipe"); err != nil {
+		t.Fatal(err)
+	}
+	w.writeSettings(v)
+	_, _ = pipe.Write(text)
+	_ = pipe.Close()
+	time.Sleep(500 * time.Millisecond)
+	if v.Exited() {
+		t.Errorf("%s ended at a signal to read its settings again", v.name)
+	}
+}
