Leases bridge the longest cut and no more; surplus comes back sooner

Now 9.5 s, given back beyond 1.3 times, at most 70% of a remainder. lease/pool.go is split: metered leases are in metered.go. Conclusion: what is held costs in a power loss what it gains in a cut, second for second.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,14 +28,6 @@
 	// quotaPatience is how long a request waits for quota: a recall takes two
 	// round trips and two syncs.
 	quotaPatience = 350 * time.Millisecond
-	// leasedPerMille is the part of each prepaid remainder that all nodes may hold
-	// together. It bridges a network partition from the control group; the rest
-	// goes where the need is. Nodes lend to one another, so that little needs to
-	// stay behind.
-	leasedPerMille = 550
-	// partition is the network partition from the control group that a node's own
-	// leases bridge, with a reserve for a workspace that sends more than usual.
-	partition = 12 * time.Second
 	// maxIdle bounds the idle connections to one instance.
 	maxIdle = 16
 	// confirmTimeout bounds one confirmation to the ledger.
@@ -151,7 +143,7 @@
 	keeper := quota.New(quota.Config{
 		Pool: lease.New(lease.Config{
 			Holder:    s.cfg.Link.Holder(),
-			Partition: partition,
+			Partition: lease.MeteredPartition,
 			Policy:    lease.PolicyMetered,
 		}),
 		Ledger:   s.cfg.Link,
@@ -175,7 +167,7 @@
 			budgets = append(budgets, fleet.BudgetID(w.ID))
 		}
 	}
-	keeper.Hold(int64(leasedPerMille/s.nodes()), budgets)
+	keeper.Hold(int64(lease.MeteredPerMille/s.nodes()), budgets)
 }
 
 // Configured implements uplink.Watcher.
