A cut-off caller is told to return as late as it still can

Now it is told to return after three tenths of the time that it has left: the later, the likelier the partition is over, and it can still be served. A node whose control group is in reach still sends callers elsewhere at once.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -73,6 +73,9 @@
 	// retryAbsent is about the time in which the list of instances, a
 	// configuration or quota changes.
 	retryAbsent = 1200 * time.Millisecond
+	// retryPart is the part of a caller's remaining time after which it can still
+	// return and be served.
+	retryPart = 0.3
 	// retrySpread is the part of the time that is drawn at random, so that
 	// callers refused together do not return together.
 	retrySpread = 0.5
@@ -89,9 +92,20 @@
 	return base + time.Duration(rand.Float64()*retrySpread*float64(base))
 }
 
+// retryAfterCut is when a caller is to return to a node that is cut off from the control
+// group, when none of the others had quota either. They are cut off as well, so that
+// returning at once only costs the caller its try: the later it comes, the likelier the
+// partition is over.
+func retryAfterCut(left time.Duration) time.Duration {
+	return max(time.Duration(float64(left)*retryPart), retryElsewhere)
+}
+
 // refuse answers that the request has not run and when to return.
 func (x *exchange) refuse(cause Cause) {
 	after := retryAfter(cause)
+	if cause == CauseNoQuota && x.short != nil && x.short.CutOff {
+		after = retryAfterCut(x.deadline - clock.Boot())
+	}
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	x.reject(http.StatusServiceUnavailable, cause)
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -34,7 +34,9 @@
 	// Spent says that the ledger has not enough left and that no holder is left
 	// to give back: waiting longer would not help.
 	Spent bool
-	Last  ledger.LeaseResult
+	// CutOff says that the ledger is out of reach and that no peer lent enough.
+	CutOff bool
+	Last   ledger.LeaseResult
 }
 
 // Config sets up a Keeper.
@@ -110,7 +112,7 @@
 			return
 		}
 		if k.fresh != nil && !k.fresh() && !k.borrow(budget, amount) {
-			w.answer <- &Shortage{}
+			w.answer <- &Shortage{CutOff: true}
 			return
 		}
 		k.waiting[budget] = append(k.waiting[budget], w)
@@ -177,7 +179,7 @@
 	}
 	l.failedAt = clock.Boot()
 	for _, w := range waiting {
-		w.answer <- &Shortage{}
+		w.answer <- &Shortage{CutOff: true}
 	}
 	k.setWaiting(budget, nil)
 }
