--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -34,6 +34,9 @@
 	overdueCost = 3 * time.Second
 	// serviceTime is the work of a plain service's request until one was seen.
 	serviceTime = 20 * time.Millisecond
+	// boardLife is how long a board's word goes before a server's reports: new
+	// prompts come after it.
+	boardLife = 150 * time.Millisecond
 	// minSharedTokens is the size from which on a shared part decides where a
 	// request goes; a smaller one is read again in less time than a detour
 	// costs.
@@ -89,10 +92,14 @@
 	reportedRunning int
 	reportedWaiting int
 	reportedAt      time.Duration
-	errors          float64
-	service         time.Duration
-	failures        int
-	suspect         time.Duration
+	// others is what other nodes had the server read as of othersAt, by the server's
+	// board.
+	others   float64
+	othersAt time.Duration
+	errors   float64
+	service  time.Duration
+	failures int
+	suspect  time.Duration
 	// heardAt is when it last answered anything; silentSince when the oldest
 	// wait without a word began, 0 for none.
 	heardAt     time.Duration
@@ -125,6 +132,10 @@
 
 	started time.Duration
 	began   bool
+	// parts are the shared ones that the engine is now taken to hold, seen when it
+	// was known to before, negative for never.
+	parts []routing.Part
+	seen  []time.Duration
 }
 
 // NewForecast returns a forecast without instances.
@@ -147,6 +158,7 @@
 			s = &forecastServer{
 				parts:      map[routing.PartID]time.Duration{},
 				reportedAt: -time.Hour,
+				othersAt:   -time.Hour,
 			}
 		}
 		s.instance = instance
@@ -195,7 +207,7 @@
 	if s.silentSince == 0 {
 		s.silentSince = now
 	}
-	f.remember(s, r.Parts, now)
+	best.parts, best.seen = f.remember(s, r.Parts, now)
 	return best, true
 }
 
@@ -311,26 +323,69 @@
 		over := max(running+queued+1-float64(s.instance.Slots), 0)
 		return wait + time.Duration((over/float64(max(s.instance.Slots, 1))+running*0.05)*float64(work))
 	}
-	tokens := s.backlog + float64(uncached) + queued*float64(r.Prompt)/2
+	tokens := s.backlog + float64(uncached) + s.othersBacklog(queued*float64(r.Prompt)/2, now)
 	wait += time.Duration(tokens / prefillRate * float64(time.Millisecond))
 	return wait + time.Duration(running)*runningCost
 }
 
-func (f *Forecast) remember(s *forecastServer, parts []routing.Part, now time.Duration) {
+// othersBacklog predicts what other nodes still have the server read: by its board where
+// that was asked a moment ago, less what it has read since, or else by its reports.
+func (s *forecastServer) othersBacklog(reported float64, now time.Duration) float64 {
+	age := now - s.othersAt
+	if age > boardLife {
+		return reported
+	}
+	return max(s.others-float64(age.Milliseconds())*prefillRate, 0)
+}
+
+// Learn takes in what the board of a server says of other nodes' prompts.
+func (f *Forecast) Learn(id fleet.BackendServerID, others fleet.Tokens, now time.Duration) {
+	if s, ok := f.servers[id]; ok {
+		s.others = float64(others)
+		s.othersAt = now
+	}
+}
+
+// Undo takes back a choice of Pick before anything was sent.
+func (f *Forecast) Undo(p *Placed, now time.Duration) {
+	if s, ok := f.servers[p.Instance.ID]; ok {
+		for i, part := range p.parts {
+			switch at := s.parts[part.ID]; {
+			case at != p.started:
+			case p.seen[i] < 0:
+				delete(s.parts, part.ID)
+			default:
+				s.parts[part.ID] = p.seen[i]
+			}
+		}
+	}
+	f.Done(p, OutcomeNeutral, now)
+}
+
+// remember takes an engine to hold a request's shared parts, and returns them with when
+// that was known before.
+func (f *Forecast) remember(s *forecastServer, parts []routing.Part, now time.Duration) (shared []routing.Part, seen []time.Duration) {
 	if len(parts) == 0 {
-		return
+		return nil, nil
 	}
-	for _, part := range parts[:len(parts)-1] {
+	shared = parts[:len(parts)-1]
+	for _, part := range shared {
+		at, known := s.parts[part.ID]
+		if !known {
+			at = -1
+		}
+		seen = append(seen, at)
 		s.parts[part.ID] = now
 	}
 	if len(s.parts) <= maxParts {
-		return
+		return shared, seen
 	}
 	for id, at := range s.parts {
 		if now-at > partLife || len(s.parts) > maxParts {
 			delete(s.parts, id)
 		}
 	}
+	return shared, seen
 }
 
 // Began takes in the first byte of an answer.
