Entry nodes claim engines on boards; reading a shared part again has its price

Each prompt is now claimed on the engine's board, kept by one entry node; its answer says what others have the engine read, and the node turns to another engine, up to three times, if that is better by 10 ms. Claims end at the first token. So reading a shared part again now counts more the more crowded the engines are, and less for a part that many requests share. Ruled out: telling all nodes of all prompts, which grows with the square of the nodes.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 TOOL = $(GO) tool -modfile=lint/go.mod
 MODULE = github.com/waxwingreel/waxwingreel
 
-.PHONY: all build run test prove soak measure fuzz lint format release clean
+.PHONY: all build run test prove soak simulate measure fuzz lint format release clean
 
 all: build
 
-# The two programs, in bin/.
+# The programs, in bin/.
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
@@ -32,6 +32,10 @@
 soak:
 	WAXWINGREEL_SOAK=$(SEEDS) WAXWINGREEL_SOAK_SIZE=$(SIZE) WAXWINGREEL_SOAK_LOGS=bin/soak $(GO) test -count=1 -timeout 60m -parallel 4 -v ./soak -run TestFresh
 
+# Plays the arrival patterns against placement and its alternatives, some seconds.
+simulate: build
+	bin/waxwingreel-simulate simulator/testdata/*.txt
+
 # Measures everything again and rewrites the tables of docs/MEASURES.md, about 5
 # minutes.
 measure: build
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -181,6 +181,21 @@
 	return placed, listAge, ok
 }
 
+// reconsider chooses again, knowing what other nodes have the chosen instance read.
+func (d *dispatcher) reconsider(service fleet.ServiceID, p *placement.Placed, r placement.ForecastRequest, others fleet.Tokens) (placed *placement.Placed, ok bool) {
+	d.Ask(func() {
+		now := clock.Boot()
+		f := d.forecast(service)
+		f.Learn(p.Instance.ID, others, now)
+		f.Undo(p, now)
+		r.Keep = p.Instance.ID
+		var next placement.Placed
+		next, ok = f.Pick(r, now)
+		placed = &next
+	})
+	return placed, ok
+}
+
 // mayRetry takes one retry from the budget.
 func (d *dispatcher) mayRetry(service fleet.ServiceID) bool {
 	may := false
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -59,6 +59,10 @@
 	// paid is set when the retry budget has paid for the next attempt already.
 	paid  bool
 	avoid []fleet.BackendServerID
+	// claimed is the claim of the present attempt on its engine's board, moves how
+	// often a board made another engine the better one.
+	claimed *placement.Claim
+	moves   int
 	// answering is set once the answer's header has left; events and lastEvent
 	// count what was delivered of a stream.
 	answering bool
@@ -272,11 +276,11 @@
 // run makes attempts until one answers the caller or no other may be made.
 func (x *exchange) run() {
 	for {
-		placed, listAge, ok := x.s.dispatch.pick(x.service.ID, placement.ForecastRequest{
+		placed, listAge, ok := x.choose(placement.ForecastRequest{
 			Parts:  x.request.Parts,
 			Prompt: x.request.Prompt,
 			Avoid:  x.avoid,
-		}, x.attempts+x.connects == 0)
+		})
 		if !ok {
 			x.giveUp(CauseNoInstance)
 			return
@@ -441,7 +445,14 @@
 // maxPriority is the last rank.
 const maxPriority = 9
 
+// began takes in the first byte of an attempt's answer.
+func (x *exchange) began(placed *placement.Placed, load *Load) {
+	x.unclaim()
+	x.s.dispatch.began(x.service.ID, placed, load)
+}
+
 func (x *exchange) done(placed *placement.Placed, outcome placement.Outcome) {
+	x.unclaim()
 	x.s.dispatch.done(x.service.ID, placed, outcome)
 }
 
@@ -472,14 +483,14 @@
 		x.done(placed, placement.OutcomeLeaving)
 		return verdictNotRun, eris.New("another instance has the address")
 	}
-	x.s.dispatch.began(x.service.ID, placed, answer.Load)
+	x.began(placed, answer.Load)
 	x.done(placed, placement.OutcomeBusy)
 	return verdictNotRun, eris.New("the instance refused the work")
 }
 
 // passOn reads an answer whole and delivers it. A truncated answer is never begun.
 func (x *exchange) passOn(ctx context.Context, placed *placement.Placed, in *backend.Incoming, answer Answer) (verdict, error) {
-	x.s.dispatch.began(x.service.ID, placed, answer.Load)
+	x.began(placed, answer.Load)
 	body, err := readAll(io.LimitReader(in.Body, maxAnswerBytes+1), make([]byte, 0, max(in.Length+1, 512)))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = eris.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 // Caller asks other nodes of the fleet.
 type Caller interface {
 	Call(ctx context.Context, address netip.AddrPort, method wire.Method, request, response any) error
+	// Send sends a message that may be lost, without waiting.
+	Send(address netip.AddrPort, method wire.Method, value any)
 }
 
 // Link is the way to the control group.
@@ -69,6 +71,7 @@
 	cfg      Config
 	conns    *backend.Conns
 	dispatch *dispatcher
+	boards   *boards
 	keeper   atomic.Pointer[quota.Keeper]
 	view     atomic.Pointer[routing.View]
 	metrics  *Metrics
@@ -95,6 +98,7 @@
 	s := &Server{
 		cfg:     cfg,
 		conns:   backend.NewConns(),
+		boards:  newBoards(cfg),
 		metrics: NewMetrics(),
 		ctx:     ctx,
 		cancel:  cancel,
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -162,6 +162,8 @@
 		Int64("predictedMillis", p.Predicted.Milliseconds()).
 		Int64("uncachedTokens", int64(p.Uncached)).
 		Int("candidates", p.Candidates).
+		Bool("claimed", x.claimed != nil).
+		Int("moves", x.moves).
 		Int64("loadAgeMillis", p.LoadAge.Milliseconds()).
 		Int64("listAgeMillis", listAge.Milliseconds()).
 		Int64("leftMillis", (x.deadline - clock.Boot()).Milliseconds()).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,7 +21,7 @@
 		chunk, err := events.next()
 		if len(chunk) > 0 {
 			if !x.answering {
-				x.s.dispatch.began(x.service.ID, placed, answer.Load)
+				x.began(placed, answer.Load)
 				x.beginStream(in)
 			}
 			if !x.sendEvents(chunk, events.counted, events.lastID) {
--- a/node/site.go
+++ b/node/site.go
@@ -89,6 +89,8 @@
 	})
 	n.site.gateway = g
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
+	n.endpoint.HandleCall(gateway.MethodClaim, g.HandleClaim)
+	n.endpoint.HandleMessage(gateway.MethodBoard, g.HandleBoard)
 	n.link.SetHandler(g)
 	n.link.SetWatcher(g)
 	n.read(discovery.Config{
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +19,18 @@
 	// lies below what the engines of today do (50 to 62), since a batch of
 	// running requests takes a part of it.
 	prefillRate = 45.0
+	// rereadCost is what the time to read a shared part again counts beyond its own
+	// length, and crowdedRereadCost how much more for each second that prompts wait
+	// where it is crowded: it takes that time from everyone behind. Without it a storm
+	// makes requests flee from queues to engines that must read everything again, until
+	// all engines do nothing else.
+	rereadCost        = 0.3
+	crowdedRereadCost = 20.0
+	// demandTime is the time over which a shared part's requests are counted, about
+	// as long as a queue lasts: the cost of reading it again is divided among them.
+	demandTime = time.Second
+	// fewRequests of a part in that time are no reason to read it on another engine.
+	fewRequests = 3
 	// runningCost is how much one more running request delays a first token.
 	runningCost = 150 * time.Microsecond
 	// farCost is what a request to another data centre loses: a round trip of some
@@ -34,6 +47,9 @@
 	overdueCost = 3 * time.Second
 	// serviceTime is the work of a plain service's request until one was seen.
 	serviceTime = 20 * time.Millisecond
+	// moveMargin is by how much another engine must be better than the one that was
+	// claimed: a move costs another round trip.
+	moveMargin = 10 * time.Millisecond
 	// boardLife is how long a board's word goes before a server's reports: new
 	// prompts come after it.
 	boardLife = 150 * time.Millisecond
@@ -78,6 +94,15 @@
 	rng     *rand.Rand
 	servers map[fleet.BackendServerID]*forecastServer
 	order   []fleet.BackendServerID
+	demands map[routing.PartID]demand
+	// backlogs is scratch space.
+	backlogs []float64
+}
+
+// demand counts a shared part's requests.
+type demand struct {
+	count float64
+	at    time.Duration
 }
 
 type forecastServer struct {
@@ -116,6 +141,8 @@
 	// Prompt is the whole prompt, 0 for a plain service.
 	Prompt fleet.Tokens
 	Avoid  []fleet.BackendServerID
+	// Keep is the instance that was chosen before, which another must beat clearly.
+	Keep fleet.BackendServerID
 }
 
 // Placed is a request on an instance, until Done.
@@ -136,6 +163,8 @@
 	// was known to before, negative for never.
 	parts []routing.Part
 	seen  []time.Duration
+	// counted is the part whose demand it raised.
+	counted routing.PartID
 }
 
 // NewForecast returns a forecast without instances.
@@ -144,6 +173,7 @@
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
 		servers: map[fleet.BackendServerID]*forecastServer{},
+		demands: map[routing.PartID]demand{},
 	}
 }
 
@@ -207,6 +237,8 @@
 	if s.silentSince == 0 {
 		s.silentSince = now
 	}
+	best.counted = longestShared(r.Parts).ID
+	f.countDemand(best.counted, 1, now)
 	best.parts, best.seen = f.remember(s, r.Parts, now)
 	return best, true
 }
@@ -214,7 +246,9 @@
 func (f *Forecast) pick(r ForecastRequest, now time.Duration, suspects bool) (Placed, bool) {
 	best := Placed{}
 	candidates := 0
-	ranked := f.rank(r.Parts, now)
+	longest := longestShared(r.Parts)
+	ranked := f.rank(longest, now)
+	dear := (rereadCost + crowdedRereadCost*f.crowding(r, now).Seconds()) / (1 + max(f.demand(longest.ID, now)-fewRequests, 0))
 	for _, id := range f.order {
 		s := f.servers[id]
 		if !s.present(now) || !suspects && now < s.suspect || slices.Contains(r.Avoid, id) {
@@ -223,11 +257,15 @@
 		candidates++
 		uncached := f.uncached(s, r, ranked, now)
 		wait := s.wait(r, uncached, now)
+		wait += time.Duration(dear * float64(readingTime(float64(uncached-r.own()))))
 		if s.instance.DataCentre != f.cfg.DataCentre {
 			wait += farCost
 		}
 		// A little chance keeps nodes with equal knowledge from choosing alike.
 		wait += time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+		if id == r.Keep {
+			wait -= moveMargin
+		}
 		if candidates == 1 || wait < best.Predicted {
 			best = Placed{
 				Instance:  s.instance,
@@ -249,15 +287,41 @@
 	return now - s.reportedAt
 }
 
-// rank returns the engines that are first in the hash order of the request's longest
-// shared part, or none where its shared parts are small. The last part is the
-// request's own.
-func (f *Forecast) rank(parts []routing.Part, now time.Duration) []fleet.BackendServerID {
+// longestShared returns the longest part that requests share, or an empty one. The last
+// part is a request's own.
+func longestShared(parts []routing.Part) routing.Part {
 	if len(parts) < 2 {
-		return nil
+		return routing.Part{}
+	}
+	return slices.MaxFunc(parts[:len(parts)-1], func(a, b routing.Part) int { return int(a.Tokens - b.Tokens) })
+}
+
+// demand is about how many requests with a shared part this node placed in the last
+// demandTime. An engine that reads the part for one of them has it for the next.
+func (f *Forecast) demand(part routing.PartID, now time.Duration) float64 {
+	d, ok := f.demands[part]
+	if !ok {
+		return 0
 	}
-	shared := parts[:len(parts)-1]
-	longest := slices.MaxFunc(shared, func(a, b routing.Part) int { return int(a.Tokens - b.Tokens) })
+	return d.count * math.Exp(-float64(now-d.at)/float64(demandTime))
+}
+
+func (f *Forecast) countDemand(part routing.PartID, n float64, now time.Duration) {
+	if part == "" {
+		return
+	}
+	if len(f.demands) > maxParts {
+		f.demands = map[routing.PartID]demand{}
+	}
+	f.demands[part] = demand{
+		count: max(f.demand(part, now)+n, 0),
+		at:    now,
+	}
+}
+
+// rank returns the engines that are first in the hash order of a shared part, or none
+// where that is small.
+func (f *Forecast) rank(longest routing.Part, now time.Duration) []fleet.BackendServerID {
 	if longest.Tokens < minSharedTokens {
 		return nil
 	}
@@ -281,6 +345,42 @@
 	return ranked[:]
 }
 
+// own is the part of the prompt that no other request shares.
+func (r ForecastRequest) own() fleet.Tokens {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
+func readingTime(tokens float64) time.Duration {
+	return time.Duration(tokens / prefillRate * float64(time.Millisecond))
+}
+
+// crowding is the time that an engine needs for what is queued there, of the quarter that
+// has most queued the one that has least. A few engines with a queue are no crowd.
+func (f *Forecast) crowding(r ForecastRequest, now time.Duration) time.Duration {
+	f.backlogs = f.backlogs[:0]
+	for _, s := range f.servers {
+		f.backlogs = append(f.backlogs, s.backlog+s.othersBacklog(s.reportedBacklog(r, now), now))
+	}
+	if len(f.backlogs) == 0 {
+		return 0
+	}
+	slices.Sort(f.backlogs)
+	return readingTime(f.backlogs[len(f.backlogs)*3/4])
+}
+
+// reportedBacklog guesses what other nodes have the server read, from its report.
+func (s *forecastServer) reportedBacklog(r ForecastRequest, now time.Duration) float64 {
+	return max(float64(s.reportedWaiting-s.waiting), 0) * s.reportWeight(now) * float64(r.Prompt) / 2
+}
+
+// reportWeight is what the server's report still counts, 1 for a new one.
+func (s *forecastServer) reportWeight(now time.Duration) float64 {
+	return 1 / (1 + float64(now-s.reportedAt)/float64(loadHalfLife))
+}
+
 // uncached predicts how much of the prompt an engine must read.
 func (f *Forecast) uncached(s *forecastServer, r ForecastRequest, ranked []fleet.BackendServerID, now time.Duration) fleet.Tokens {
 	if len(r.Parts) == 0 {
@@ -310,8 +410,7 @@
 	if since := max(s.heardAt, s.silentSince); s.silentSince > 0 && now-since > overdueAfter {
 		wait += overdueCost
 	}
-	age := now - s.reportedAt
-	fresh := 1 / (1 + float64(age)/float64(loadHalfLife))
+	fresh := s.reportWeight(now)
 	others := max(float64(s.reportedRunning-s.running), 0) * fresh
 	queued := max(float64(s.reportedWaiting-s.waiting), 0) * fresh
 	running := float64(s.running) + others
@@ -323,8 +422,8 @@
 		over := max(running+queued+1-float64(s.instance.Slots), 0)
 		return wait + time.Duration((over/float64(max(s.instance.Slots, 1))+running*0.05)*float64(work))
 	}
-	tokens := s.backlog + float64(uncached) + s.othersBacklog(queued*float64(r.Prompt)/2, now)
-	wait += time.Duration(tokens / prefillRate * float64(time.Millisecond))
+	tokens := s.backlog + float64(uncached) + s.othersBacklog(s.reportedBacklog(r, now), now)
+	wait += readingTime(tokens)
 	return wait + time.Duration(running)*runningCost
 }
 
@@ -348,6 +447,7 @@
 
 // Undo takes back a choice of Pick before anything was sent.
 func (f *Forecast) Undo(p *Placed, now time.Duration) {
+	f.countDemand(p.counted, -1, now)
 	if s, ok := f.servers[p.Instance.ID]; ok {
 		for i, part := range p.parts {
 			switch at := s.parts[part.ID]; {
--- a/simulator/engine.go
+++ b/simulator/engine.go
@@ -68,6 +68,7 @@
 	next    time.Duration
 	idle    bool
 
+	arrivals  int
 	read      fleet.Tokens
 	readAgain fleet.Tokens
 	known     map[routing.PartID]bool
@@ -91,6 +92,7 @@
 
 // add queues a request by its urgency.
 func (e *engine) add(w *work, now time.Duration) {
+	e.arrivals++
 	e.waiting = append(e.waiting, w)
 	slices.SortStableFunc(e.waiting, func(a, b *work) int {
 		return cmp.Or(cmp.Compare(a.request.class.Priority, b.request.class.Priority), cmp.Compare(a.order, b.order))
--- a/simulator/play.go
+++ b/simulator/play.go
@@ -178,7 +178,10 @@
 	requests []*request
 	// board is that of all engines, nil where nodes decide alone.
 	board *placement.Board
+	// times are the factors on the classes' rates, hot the parts of their requests that
+	// are about one subject.
 	times map[string]float64
+	hot   map[string]float64
 }
 
 // attempts is how many engines a request may be sent to.
@@ -196,6 +199,7 @@
 		pattern: pattern,
 		rng:     rand.New(rand.NewPCG(pattern.Seed, 1)),
 		times:   map[string]float64{},
+		hot:     map[string]float64{},
 	}
 	for i := range pattern.Engines {
 		p.engines = append(p.engines, newEngine(pattern.Engine, routing.Instance{
@@ -280,6 +284,9 @@
 	// Workspaces and subjects differ in size, as 1, 1/2, 1/3 and so on.
 	own := fleet.Tokens(float64(c.Own)*math.Exp(p.rng.NormFloat64()*0.8-0.32)) + 1
 	subject := p.skewed(c.Subjects)
+	if p.rng.Float64() < p.hot[c.Name] {
+		subject = 0
+	}
 	r := &request{
 		class:     c,
 		workspace: p.skewed(max(p.pattern.Workspaces, 1)),
@@ -345,7 +352,7 @@
 }
 
 // claimRounds is how many engines a node claims at most for one request.
-const claimRounds = 2
+const claimRounds = 3
 
 // claim claims the chosen engine, and turns to another if what others have claimed makes
 // that the better one.
@@ -356,6 +363,7 @@
 			placer.Learn(w.placed.Instance.ID, others, p.now)
 			before := w.claim()
 			placer.Undo(&w.placed, p.now)
+			ask.Keep = w.placed.Instance.ID
 			placed, ok := w.node.placer.Pick(ask, p.now)
 			if !ok {
 				p.board.Release(before)
@@ -456,6 +464,9 @@
 	case "burst":
 		p.after(e.At, func() { p.times[e.Class] = e.Times })
 		p.after(e.At+e.For, func() { p.times[e.Class] = 1 })
+	case "hot":
+		p.after(e.At, func() { p.hot[e.Class] = e.Times })
+		p.after(e.At+e.For, func() { p.hot[e.Class] = 0 })
 	case "crash":
 		p.onEngines(e, func(e *engine) {
 			for _, w := range e.crash() {
@@ -471,7 +482,7 @@
 	case "grey":
 		p.onEngines(e, func(n *engine) { n.failing = e.Times }, func(n *engine) { n.failing = 0 })
 	default:
-		return eris.Errorf("%s: unknown event %q; hint: burst, crash, slow or grey", p.pattern.Name, e.Kind)
+		return eris.Errorf("%s: unknown event %q; hint: burst, hot, crash, slow or grey", p.pattern.Name, e.Kind)
 	}
 	return nil
 }
--- a/simulator/report.go
+++ b/simulator/report.go
@@ -15,8 +15,7 @@
 	Pattern string
 	Policy  string
 	Classes []ClassReport
-	// Imbalance is the work of the busiest engine over the mean, in prompt tokens
-	// read and output tokens made.
+	// Imbalance is how many requests arrived at the busiest engine, over the mean.
 	Imbalance float64
 	// Read counts the prompt tokens that were read, Again those of shared parts that
 	// an engine had read before and no longer held, Prompts all that was sent.
@@ -112,8 +111,8 @@
 	for _, e := range p.engines {
 		r.Read += int64(e.read)
 		r.Again += int64(e.readAgain)
-		total += float64(e.read)
-		most = max(most, float64(e.read))
+		total += float64(e.arrivals)
+		most = max(most, float64(e.arrivals))
 	}
 	if total > 0 {
 		r.Imbalance = most * float64(len(p.engines)) / total
