Control VMs serve metrics as well

Cause: the metrics address of a control VM served an empty set, as the counters belonged to the gateway. One package now counts for both roles: commands by kind and outcome, commit times, and as gauges who leads, term, indexes, voters, bytes of the log, subscribers; entry VMs add leased tokens, ages and versions. Test: TestSite reads the metrics of each role.

--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/metrics"
+)
+
+// kind names a command for the metrics.
+func (c Command) kind() string {
+	switch {
+	case c.Ticket != nil:
+		return "ticket"
+	case c.Configure != nil:
+		return "configure"
+	case c.Join != nil:
+		return "join"
+	case len(c.Leases) > 0:
+		return "leases"
+	case c.Settle != nil:
+		return "settle"
+	case c.Begin != nil, c.Finish != nil:
+		return "call"
+	case c.Confirm != nil:
+		return "confirm"
+	}
+	return "other"
+}
+
+// countSubmit counts a command and measures how long it took on the leader.
+func (r *Replica) countSubmit(command Command, answer SubmitAnswer, took time.Duration) {
+	kind := metrics.Label{
+		Name:  "kind",
+		Value: command.kind(),
+	}
+	r.cfg.Metrics.Count("commands", kind, metrics.Label{
+		Name:  "outcome",
+		Value: string(answer.Status),
+	})
+	if answer.Status == SubmitDone {
+		r.cfg.Metrics.Observe("commit", took, kind)
+	}
+}
+
+// gauges tells the present values.
+func (r *Replica) gauges(gauge func(name string, value float64)) {
+	truth := func(name string, is bool) {
+		value := 0.0
+		if is {
+			value = 1
+		}
+		gauge(name, value)
+	}
+	r.do(func() {
+		now := clock.Boot()
+		status := r.core.Status()
+		truth("control_leads", r.core.HoldsLease(now))
+		truth("control_has_leader", r.core.Fresh(now, freshWithin))
+		truth("control_failed", r.failed != nil)
+		gauge("control_term", float64(status.Term))
+		gauge("control_commit_index", float64(status.Commit))
+		gauge("control_applied_index", float64(status.Applied))
+		gauge("control_voters", float64(status.Members.Voters()))
+		gauge("control_log_bytes", float64(r.journal.LogBytes()))
+		gauge("configuration_version", float64(r.machine.routing.Config.Version))
+		if r.listNumber > 0 {
+			gauge("instance_list_age_seconds", (now - r.listAt).Seconds())
+		}
+	})
+	r.subscribersMu.Lock()
+	defer r.subscribersMu.Unlock()
+	gauge("control_subscribers", float64(len(r.subscribers)))
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -15,6 +15,7 @@
 	"github.com/waxwingreel/waxwingreel/consensus"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -76,6 +77,8 @@
 	Disk      commitlog.Disk
 	Endpoint  *wire.Endpoint
 	Log       *event.Log
+	// Metrics takes counters, latencies and gauges.
+	Metrics *metrics.Set
 }
 
 // Replica is one running control replica. Its state belongs to one goroutine;
@@ -144,6 +147,9 @@
 // NewReplica opens the replica's journal, adds its handlers to the endpoint and
 // starts it. The endpoint must not have been started.
 func NewReplica(cfg Config) (*Replica, error) {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New()
+	}
 	id, err := replicaID(cfg.Disk)
 	if err != nil {
 		return nil, err
@@ -198,6 +204,7 @@
 		Int("entries", len(contents.Entries)).
 		Msg("control replica opened its journal")
 	r.handle(cfg.Endpoint)
+	cfg.Metrics.Gauges(r.gauges)
 	r.wait.Go(r.loop)
 	return r, nil
 }
--- a/control/submit.go
+++ b/control/submit.go
@@ -145,6 +145,13 @@
 
 // Submit hands a command to this replica.
 func (r *Replica) Submit(ctx context.Context, command Command) SubmitAnswer {
+	began := clock.Boot()
+	answer := r.submit(ctx, command)
+	r.countSubmit(command, answer, clock.Boot()-began)
+	return answer
+}
+
+func (r *Replica) submit(ctx context.Context, command Command) SubmitAnswer {
 	p := proposal{
 		command: command,
 		answer:  make(chan SubmitAnswer, 1),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
@@ -64,6 +65,8 @@
 	// bound.
 	MaxInFlight int64
 	Log         *event.Log
+	// Metrics takes counters, latencies and gauges.
+	Metrics *metrics.Set
 }
 
 // Server answers routed requests.
@@ -74,7 +77,6 @@
 	boards   *boards
 	keeper   atomic.Pointer[quota.Keeper]
 	view     atomic.Pointer[routing.View]
-	metrics  *Metrics
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	// sharers is how many entry nodes share budgets and limits, 0 until known.
@@ -94,16 +96,19 @@
 
 // New starts a server. It refuses requests until it has a configuration.
 func New(cfg Config) *Server {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		cfg:     cfg,
-		conns:   backend.NewConns(),
-		boards:  newBoards(cfg),
-		metrics: NewMetrics(),
-		ctx:     ctx,
-		cancel:  cancel,
-		listAt:  -time.Hour,
+		cfg:    cfg,
+		conns:  backend.NewConns(),
+		boards: newBoards(cfg),
+		ctx:    ctx,
+		cancel: cancel,
+		listAt: -time.Hour,
 	}
+	cfg.Metrics.Gauges(s.gauges)
 	s.dispatch = newDispatcher(dispatchConfig{
 		dataCentre: cfg.DataCentre,
 		seed:       rand.Uint64(),
@@ -260,11 +265,6 @@
 	s.stopping.Store(true)
 }
 
-// Metrics returns the counters and histograms.
-func (s *Server) Metrics() *Metrics {
-	return s.metrics
-}
-
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := s.inFlight.Add(1)
@@ -284,10 +284,6 @@
 	x.serve()
 }
 
-func (s *Server) firstByte(x *exchange) {
-	s.metrics.FirstByte(string(x.route.Name), clock.Boot()-x.arrived)
-}
-
 // Entries returns the addresses that callers may use, of the nodes that are up as far
 // as this node knows.
 //
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,133 +1,71 @@
 package gateway
 
 import (
-	"expvar"
-	"fmt"
-	"io"
-	"sort"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/metrics"
+	"github.com/waxwingreel/waxwingreel/quota"
 )
 
-// bucketMillis are the upper bounds of the latency histograms.
-var bucketMillis = [...]int64{5, 10, 20, 50, 100, 200, 400, 600, 800, 1000, 1500, 2500, 4000, 8000, 15000}
-
-// maxSeries bounds the label sets of one metric. Routes come and go.
-const maxSeries = 512
-
-// Metrics counts requests and measures their times.
-type Metrics struct {
-	mu         sync.Mutex
-	counters   map[series]int64
-	histograms map[series]*histogram
-}
-
-type series struct {
-	name   string
-	labels string
-}
-
-type histogram struct {
-	buckets [len(bucketMillis) + 1]int64
-	sum     time.Duration
-	count   int64
-}
-
-// NewMetrics returns empty metrics.
-func NewMetrics() *Metrics {
-	return &Metrics{
-		counters:   map[series]int64{},
-		histograms: map[series]*histogram{},
+func routeLabel(route string) metrics.Label {
+	return metrics.Label{
+		Name:  "route",
+		Value: route,
 	}
 }
 
-// Request counts a request's end.
-func (m *Metrics) Request(route string, status int, cause Cause, took time.Duration) {
-	labels := `route="` + route + `",status="` + strconv.Itoa(status) + `",cause="` + string(cause) + `"`
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.add(series{
-		name:   "waxwingreel_requests_total",
-		labels: labels,
-	})
-	m.observe(series{
-		name:   "waxwingreel_request_seconds",
-		labels: `route="` + route + `"`,
-	}, took)
-}
-
-// FirstByte measures the time until an answer began.
-func (m *Metrics) FirstByte(route string, took time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.observe(series{
-		name:   "waxwingreel_first_byte_seconds",
-		labels: `route="` + route + `"`,
-	}, took)
+func causeLabel(cause Cause) metrics.Label {
+	return metrics.Label{
+		Name:  "cause",
+		Value: string(cause),
+	}
 }
 
-// Count adds one to a counter with a cause.
-func (m *Metrics) Count(name, cause string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.add(series{
-		name:   "waxwingreel_" + name + "_total",
-		labels: `cause="` + cause + `"`,
-	})
+// countRequest counts a request's end.
+func (s *Server) countRequest(route string, status int, cause Cause, took time.Duration) {
+	s.cfg.Metrics.Count("requests", routeLabel(route), metrics.Label{
+		Name:  "status",
+		Value: strconv.Itoa(status),
+	}, causeLabel(cause))
+	s.cfg.Metrics.Observe("request", took, routeLabel(route))
 }
 
-func (m *Metrics) add(s series) {
-	if _, ok := m.counters[s]; ok || len(m.counters) < maxSeries {
-		m.counters[s]++
-	}
+// firstByte measures the time until an answer began.
+func (s *Server) firstByte(x *exchange) {
+	s.cfg.Metrics.Observe("first_byte", clock.Boot()-x.arrived, routeLabel(string(x.route.Name)))
 }
 
-func (m *Metrics) observe(s series, took time.Duration) {
-	h, ok := m.histograms[s]
-	if !ok {
-		if len(m.histograms) >= maxSeries {
-			return
-		}
-		h = &histogram{}
-		m.histograms[s] = h
+// gauges tells the present values.
+func (s *Server) gauges(gauge func(name string, value float64)) {
+	opened, reused := backend.ConnCounts()
+	gauge("connections_opened_total", float64(opened))
+	gauge("connections_reused_total", float64(reused))
+	gauge("requests_in_flight", float64(s.InFlight()))
+	gauge("instance_list_age_seconds", s.ListAge().Seconds())
+	gauge("entry_nodes", float64(s.nodes()))
+	if view := s.view.Load(); view != nil {
+		gauge("configuration_version", float64(view.Config.Version))
 	}
-	i := sort.Search(len(bucketMillis), func(i int) bool { return took.Milliseconds() <= bucketMillis[i] })
-	h.buckets[i]++
-	h.sum += took
-	h.count++
-}
-
-// Write writes all metrics as text, with the process's expvar integers.
-func (m *Metrics) Write(w io.Writer) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for s, n := range m.counters {
-		_, _ = fmt.Fprintf(w, "%s{%s} %d\n", s.name, s.labels, n)
+	fresh := 0.0
+	if s.cfg.Link.Fresh() {
+		fresh = 1
 	}
-	for s, h := range m.histograms {
-		h.write(w, s)
+	gauge("control_group_in_reach", fresh)
+	if keeper := s.keeper.Load(); keeper != nil {
+		free, reserved := sum(keeper)
+		gauge("leased_free_tokens", free)
+		gauge("leased_reserved_tokens", reserved)
 	}
-	opened, reused := backend.ConnCounts()
-	_, _ = fmt.Fprintf(w, "waxwingreel_connections_opened_total %d\nwaxwingreel_connections_reused_total %d\n", opened, reused)
-	expvar.Do(func(kv expvar.KeyValue) {
-		if n, ok := kv.Value.(*expvar.Int); ok {
-			_, _ = fmt.Fprintf(w, "%s %d\n", kv.Key, n.Value())
-		}
-	})
 }
 
-func (h *histogram) write(w io.Writer, s series) {
-	total := int64(0)
-	for i, n := range h.buckets {
-		total += n
-		bound := "+Inf"
-		if i < len(bucketMillis) {
-			bound = strconv.FormatFloat(float64(bucketMillis[i])/1000, 'f', -1, 64)
-		}
-		_, _ = fmt.Fprintf(w, "%s_bucket{%s,le=\"%s\"} %d\n", s.name, s.labels, bound, total)
+// sum adds the leases of all workspaces up.
+func sum(keeper *quota.Keeper) (free, reserved float64) {
+	for _, h := range keeper.Holdings() {
+		free += float64(h.Free)
+		reserved += float64(h.Reserved)
 	}
-	_, _ = fmt.Fprintf(w, "%s_sum{%s} %.3f\n%s_count{%s} %d\n", s.name, s.labels, h.sum.Seconds(), s.name, s.labels, h.count)
+	return free, reserved
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -172,7 +172,7 @@
 
 // logAttempt writes why an attempt did not answer the caller.
 func (x *exchange) logAttempt(p *placement.Placed, outcome verdict, err error) {
-	x.s.metrics.Count("attempts_failed", string(causeOf(outcome)))
+	x.s.cfg.Metrics.Count("attempts_failed", causeLabel(causeOf(outcome)))
 	x.s.cfg.Log.Warn(event.AttemptFailed).
 		Str("request", string(x.request.ID)).
 		Str("instance", string(p.Instance.ID)).
@@ -197,7 +197,7 @@
 	if x.view != nil {
 		version = uint64(x.view.Config.Version)
 	}
-	x.s.metrics.Request(route, x.status, x.cause, took)
+	x.s.countRequest(route, x.status, x.cause, took)
 	id := event.RequestEnded
 	if x.status >= http.StatusBadRequest && x.lastInstance == "" {
 		id = event.RequestRefused
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/waxwingreel/waxwingreel/entry"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -78,6 +79,7 @@
 	callers  *http.Server
 	operator *http.Server
 	site     *site
+	metrics  *metrics.Set
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -96,6 +98,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		started: clock.Boot(),
+		metrics: metrics.New(),
 	}
 	n.state.Store(roster.StateUp)
 	if err := n.open(); err != nil {
@@ -156,6 +159,7 @@
 		Disk:      folder,
 		Endpoint:  n.endpoint,
 		Log:       n.cfg.Log,
+		Metrics:   n.metrics,
 	}
 	if s.Site != nil {
 		cfg.Seeds = s.Site.SeedAddresses()
--- a/node/site.go
+++ b/node/site.go
@@ -86,6 +86,7 @@
 		RetrySlack:  s.RetrySlack,
 		MaxInFlight: s.MemoryMegabytes * requestsPerMegabyte,
 		Log:         n.cfg.Log,
+		Metrics:     n.metrics,
 	})
 	n.site.gateway = g
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
@@ -188,11 +189,7 @@
 
 func (n *Node) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if n.site.gateway != nil {
-		n.site.gateway.Metrics().Write(w)
-		return
-	}
-	gateway.NewMetrics().Write(w)
+	n.metrics.Write(w)
 }
 
 // Failed is closed when a node of a site must be started again, because its disk failed:
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -71,12 +71,14 @@
 			Bootstrap:  true,
 		}
 		s.Site.Listen.Control = netip.AddrPortFrom(wire.Addr(), free(t, "tcp").Port())
+		s.Site.Listen.Metrics = free(t, "tcp")
 	}
 	for i := range 2 {
 		s := f.settings(fmt.Sprintf("e%d", i), listAddress)
 		s.Site.Listen.Callers = free(t, "tcp")
 		s.Site.Listen.Ready = free(t, "tcp")
 		s.Site.Listen.Directory = free(t, "tcp")
+		s.Site.Listen.Metrics = free(t, "tcp")
 		f.entries = append(f.entries, s)
 	}
 	return f
@@ -156,6 +158,26 @@
 	 "tenants":[{"name":"w","api_keys":["k1"],"prepaid":%d}]}`, version, prepaid)
 }
 
+// checkMetrics looks for what an operator watches on the metrics address of each role.
+func (f *siteFleet) checkMetrics() {
+	f.t.Helper()
+	for _, s := range append(f.entries, f.control...) {
+		names := []string{"waxwingreel_entry_nodes 2\n", "waxwingreel_control_group_in_reach 1\n"}
+		if s.Control != nil {
+			names = []string{"waxwingreel_control_has_leader 1\n", "waxwingreel_control_voters 3\n", "waxwingreel_configuration_version 3\n"}
+		}
+		f.eventually(fmt.Sprintf("%s serves %q", s.Node, names), func() bool {
+			_, text := call(http.MethodGet, s.Site.Listen.Metrics, "/metrics", "", "")
+			for _, name := range names {
+				if !strings.Contains(text, name) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 // TestSite plays a short day from end to end: the group forms, a configuration is
 // accepted and read back, callers find entry nodes and are answered, keys and budgets
 // hold, and a planned stop takes a node out of the directory without an error.
@@ -173,6 +195,7 @@
 	if status, text := call(http.MethodGet, f.control[2].Site.Listen.Control, "/config/describe", "", ""); status != http.StatusOK || text != siteDocument(3, 1500) {
 		t.Errorf("got status %d and %q, want the document as it was sent", status, text)
 	}
+	f.checkMetrics()
 	directory := func() []string {
 		answer := struct {
 			Addresses []string `json:"addresses"`
