--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -89,8 +89,6 @@
 	settings settings.Settings
 	path     string
 	callers  *relay.TCP
-	// work serializes what is done to the process.
-	work sync.Mutex
 }
 
 func (v *vm) control() bool { return v.settings.Control != nil }
