--- a/event/event.go
+++ b/event/event.go
@@ -47,7 +47,7 @@
 	ListReadable     ID = 309
 	ConfigReplaced   ID = 310
 	QuotaLent        ID = 311
-	BoardLost        ID = 312
+	PeerLost         ID = 312
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
--- a/gateway/boards.go
+++ b/gateway/boards.go
@@ -10,7 +10,6 @@
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -27,9 +26,6 @@
 	// claimTimeout is several round trips inside a region. A board that takes longer
 	// is not worth the wait.
 	claimTimeout = 15 * time.Millisecond
-	// keeperPause keeps a node that did not answer from being asked: each request
-	// would wait for it in vain.
-	keeperPause = 700 * time.Millisecond
 	// claimRounds is how many engines a request claims at most.
 	claimRounds = 3
 )
@@ -49,68 +45,34 @@
 // concurrent use.
 type boards struct {
 	node  fleet.NodeID
-	link  Link
+	peers *peers
 	nodes Caller
-	log   *event.Log
 
 	mu    sync.Mutex
 	board *placement.Board
-	// keepers and wires were worked out from the roster that begins at roster.
-	roster  *roster.Report
-	keepers placement.Keepers
-	wires   map[fleet.NodeID]netip.AddrPort
-	// avoided holds the nodes that did not answer, until when.
-	avoided map[fleet.NodeID]time.Duration
 }
 
-func newBoards(cfg Config) *boards {
+func newBoards(cfg Config, p *peers) *boards {
 	return &boards{
-		node:    cfg.Node,
-		link:    cfg.Link,
-		nodes:   cfg.Nodes,
-		log:     cfg.Log,
-		board:   placement.NewBoard(),
-		wires:   map[fleet.NodeID]netip.AddrPort{},
-		avoided: map[fleet.NodeID]time.Duration{},
+		node:  cfg.Node,
+		peers: p,
+		nodes: cfg.Nodes,
+		board: placement.NewBoard(),
 	}
 }
 
 // keeper returns who keeps an engine's board. It reports false where nobody does, or where
 // that node is not to be asked now.
-func (b *boards) keeper(engine fleet.BackendServerID) (node fleet.NodeID, address netip.AddrPort, ok bool) {
-	reports := b.link.Roster()
-	if len(reports) == 0 {
-		return "", address, false
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.roster != &reports[0] {
-		b.learn(reports)
-	}
-	node = b.keepers.Of(engine)
-	if node == "" || len(b.wires) < 2 || clock.Boot() < b.avoided[node] {
-		return node, address, false
-	}
-	return node, b.wires[node], true
-}
-
-func (b *boards) learn(reports []roster.Report) {
-	b.roster = &reports[0]
-	b.wires = map[fleet.NodeID]netip.AddrPort{}
-	var up []fleet.NodeID
-	for _, report := range reports {
-		if report.Callers.IsValid() && report.State == roster.StateUp {
-			up = append(up, report.Holder.Node)
-			b.wires[report.Holder.Node] = report.Wire
-		}
-	}
-	b.keepers = placement.NewKeepers(up)
+func (b *boards) keeper(engine fleet.BackendServerID, dataCentre fleet.DataCentre) (node fleet.NodeID, address netip.AddrPort, ok bool) {
+	node = b.peers.set().Of(string(engine), dataCentre)
+	address, ok = b.peers.address(node)
+	return node, address, ok
 }
 
 // claim claims an engine and returns what others have claimed. It reports false where no
 // board told in time.
 func (b *boards) claim(ctx context.Context, c placement.Claim) (others fleet.Tokens, ok bool) {
-	node, address, ok := b.keeper(c.Engine)
+	node, address, ok := b.keeper(c.Engine, c.DataCentre)
 	if !ok {
 		return 0, false
 	}
@@ -124,31 +86,16 @@
 	answer := ClaimAnswer{}
 	if err := b.nodes.Call(call, address, MethodClaim, c, &answer); err != nil {
 		if ctx.Err() == nil {
-			b.avoid(node, err)
+			b.peers.avoid(node, err)
 		}
 		return 0, false
 	}
 	return answer.Others, true
 }
 
-func (b *boards) avoid(node fleet.NodeID, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := clock.Boot()
-	if now < b.avoided[node] {
-		return
-	}
-	b.avoided[node] = now + keeperPause
-	b.log.Info(event.BoardLost).
-		Str("keeper", string(node)).
-		Int64("pauseMillis", keeperPause.Milliseconds()).
-		Err(err).
-		Msg("a node does not tell of its boards; requests are placed without them")
-}
-
 // tell tells a board of a claim without waiting.
 func (b *boards) tell(m BoardMessage) {
-	node, address, ok := b.keeper(m.Claim.Engine)
+	node, address, ok := b.keeper(m.Claim.Engine, m.Claim.DataCentre)
 	switch {
 	case !ok:
 	case node == b.node:
@@ -183,7 +130,7 @@
 func (s *Server) HandleBoard(from fleet.NodeID, body []byte) {
 	m := BoardMessage{}
 	if err := wire.Decode(body, &m); err != nil {
-		s.cfg.Log.Warn(event.BoardLost).Str("from", string(from)).Err(err).Msg("a message for a board cannot be read")
+		s.cfg.Log.Warn(event.PeerLost).Str("from", string(from)).Err(err).Msg("a message for a board cannot be read")
 		return
 	}
 	s.boards.enter(m)
@@ -225,10 +172,11 @@
 
 func (x *exchange) claim(placed *placement.Placed) placement.Claim {
 	return placement.Claim{
-		Engine:  placed.Instance.ID,
-		Node:    x.s.cfg.Node,
-		Request: x.request.ID,
-		Tokens:  placed.Uncached,
+		Engine:     placed.Instance.ID,
+		DataCentre: placed.Instance.DataCentre,
+		Node:       x.s.cfg.Node,
+		Request:    x.request.ID,
+		Tokens:     placed.Uncached,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	cfg      Config
 	conns    *backend.Conns
 	dispatch *dispatcher
+	peers    *peers
 	boards   *boards
 	keeper   atomic.Pointer[quota.Keeper]
 	view     atomic.Pointer[routing.View]
@@ -103,11 +104,12 @@
 	s := &Server{
 		cfg:    cfg,
 		conns:  backend.NewConns(),
-		boards: newBoards(cfg),
+		peers:  newPeers(cfg),
 		ctx:    ctx,
 		cancel: cancel,
 		listAt: -time.Hour,
 	}
+	s.boards = newBoards(cfg, s.peers)
 	cfg.Metrics.Gauges(s.gauges)
 	s.dispatch = newDispatcher(dispatchConfig{
 		dataCentre: cfg.DataCentre,
--- a/placement/board.go
+++ b/placement/board.go
@@ -18,9 +18,11 @@
 
 // Claim is a prompt that a node has an engine read.
 type Claim struct {
-	Engine  fleet.BackendServerID `json:"engine"`
-	Node    fleet.NodeID          `json:"node"`
-	Request routing.RequestID     `json:"request"`
+	Engine fleet.BackendServerID `json:"engine"`
+	// DataCentre is the engine's.
+	DataCentre fleet.DataCentre  `json:"dataCentre,omitempty"`
+	Node       fleet.NodeID      `json:"node"`
+	Request    routing.RequestID `json:"request"`
 	// Tokens are what the engine is expected to read of it, beyond its cache.
 	Tokens fleet.Tokens `json:"tokens"`
 }
@@ -36,7 +38,7 @@
 // simulator 5.8% of the digests come late with 8 nodes, 8.5% with 65, and 2.2% where one
 // node decides for all (testdata/calm.txt). Telling every node of every prompt grows with
 // the square of the nodes. So each engine has one node that keeps its board, found by hash
-// as engines are for prompts. A node claims an engine on the board and is told what others
+// (package keepers). A node claims an engine on the board and is told what others
 // have claimed; if that makes another engine the better one, it turns to that. Two short
 // messages a request, whatever the number of nodes, and a lost board costs only knowledge.
 type Board struct {
