In a large fleet few nodes hold a budget's quota, and the others draw from them

With 82 entry nodes a lease was smaller than most requests, so that each request waited for the control group, 230 a second on a tenth of a core each, and what was leased lay where nobody asked. Now eight keepers hold each budget; the others draw what a request needs, in one round trip inside a region, in a partition from the control group too, and send back what was not used. Fleets of up to eight entry nodes work as before. Connections to keepers are opened early. With it: a caller's connection ends after 12 to 24 requests, and the directory tells each caller others of more than 64 addresses; a node cut off from the control group reads the list less often (calls have a price).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -26,9 +26,9 @@
 	pollStale = 500 * time.Millisecond
 	// readTimeout bounds one reading.
 	readTimeout = time.Second
-	// rateShare is the part of the permitted readings that nodes use which read
-	// for themselves; the rest is the leader's.
-	rateShare = 0.6
+	// rateShare is the part of the permitted calls that nodes use which read for
+	// themselves. A reading takes a call for each page, and calls have a price.
+	rateShare = 0.25
 )
 
 // Lister reads the list. Unreadable counts the entries that were left out.
--- a/event/event.go
+++ b/event/event.go
@@ -48,6 +48,7 @@
 	ConfigReplaced   ID = 310
 	QuotaLent        ID = 311
 	PeerLost         ID = 312
+	QuotaLost        ID = 313
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
--- a/gateway/boards_test.go
+++ b/gateway/boards_test.go
@@ -3,91 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
-
-	"github.com/waxwingreel/waxwingreel/control"
-	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
-	"github.com/waxwingreel/waxwingreel/wire"
 )
 
-// mesh connects the servers of some entry nodes. Nodes that are cut do not answer.
-type mesh struct {
-	servers map[netip.AddrPort]*Server
-	reports []roster.Report
-	cut     map[netip.AddrPort]bool
-	calls   int
-}
-
-func newMesh(t *testing.T, nodes int) (*mesh, []*Server) {
-	m := &mesh{
-		servers: map[netip.AddrPort]*Server{},
-		cut:     map[netip.AddrPort]bool{},
-	}
-	for i := range nodes {
-		m.reports = append(m.reports, roster.Report{
-			Holder:  fleet.Holder{Node: fleet.NodeID(fmt.Sprintf("n%d", i))},
-			State:   roster.StateUp,
-			Callers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
-			Wire:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 90),
-		})
-	}
-	var all []*Server
-	for _, report := range m.reports {
-		s := New(Config{
-			Node:  report.Holder.Node,
-			Link:  m,
-			Nodes: m,
-			Log:   event.New(io.Discard, string(report.Holder.Node)),
-		})
-		t.Cleanup(func() { _ = s.Close(context.Background()) })
-		m.servers[report.Wire] = s
-		all = append(all, s)
-	}
-	return m, all
-}
-
-func (m *mesh) Submit(context.Context, control.Command) (control.Result, error) {
-	return control.Result{}, eris.New("there is no control group")
-}
-
-func (m *mesh) Holder() fleet.Holder    { return fleet.Holder{} }
-func (m *mesh) Fresh() bool             { return true }
-func (m *mesh) Roster() []roster.Report { return m.reports }
-
-func (m *mesh) Call(ctx context.Context, address netip.AddrPort, _ wire.Method, request, response any) error {
-	m.calls++
-	if m.cut[address] {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	body, err := cbor.Marshal(request)
-	if err != nil {
-		return err
-	}
-	answer, err := m.servers[address].HandleClaim(ctx, "", body)
-	if err != nil {
-		return err
-	}
-	*response.(*ClaimAnswer) = answer.(ClaimAnswer)
-	return nil
-}
-
-func (m *mesh) Send(address netip.AddrPort, _ wire.Method, value any) {
-	if body, err := cbor.Marshal(value); err == nil && !m.cut[address] {
-		m.servers[address].HandleBoard("", body)
-	}
-}
-
 // prompt starts a long prompt's exchange on a server, as far as its choice of an engine.
 func prompt(s *Server, id string) *exchange {
 	return &exchange{
@@ -180,8 +103,8 @@
 		if _, _, ok := x.choose(longPrompt); !ok {
 			t.Fatal("got no engine without its keeper")
 		}
-		if took := time.Since(started); i == 0 && took > 10*claimTimeout || i > 0 && m.calls > 1 {
-			t.Errorf("got an engine after %s and %d calls, want one call that waits for %s", took, m.calls, claimTimeout)
+		if took := time.Since(started); i == 0 && took > 10*claimTimeout || i > 0 && m.calls.Load() > 1 {
+			t.Errorf("got an engine after %s and %d calls, want one call that waits for %s", took, m.calls.Load(), claimTimeout)
 		}
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -63,6 +63,9 @@
 	// often a board made another engine the better one.
 	claimed *placement.Claim
 	moves   int
+	// lastOfConnection says that the caller is to open another connection after this
+	// request.
+	lastOfConnection bool
 	// answering is set once the answer's header has left; events and lastEvent
 	// count what was delivered of a stream.
 	answering bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	inFlight atomic.Int64
 	// sharers is how many entry nodes share budgets and limits, 0 until known.
 	sharers atomic.Int64
+	// turn is where this node begins among the holders of a budget.
+	turn int
 
 	listMu sync.Mutex
 	listAt time.Duration
@@ -132,9 +134,22 @@
 func (s *Server) Shared(nodes int) {
 	s.sharers.Store(int64(nodes))
 	s.dispatch.share(s.nodes())
+	s.greet()
 	s.hold()
 }
 
+// greet opens a connection to each keeper, so that no request waits for that.
+func (s *Server) greet() {
+	if s.cfg.Nodes == nil {
+		return
+	}
+	for _, n := range s.peers.set().All() {
+		if address, ok := s.peers.address(n.ID); ok && n.ID != s.cfg.Node {
+			s.cfg.Nodes.Send(address, MethodBoard, BoardMessage{Ended: true})
+		}
+	}
+}
+
 // keepIdle returns how many idle connections to keep to an instance of a service: few
 // enough that those of all nodes take half of what the instance accepts.
 func (s *Server) keepIdle(service fleet.ServiceID) int {
@@ -161,6 +176,7 @@
 		Patience: quotaPatience,
 		Fresh:    s.cfg.Link.Fresh,
 		Peers:    lenders{server: s},
+		Holders:  holders{server: s},
 	})
 	s.keeper.Store(keeper)
 	s.hold()
@@ -174,11 +190,11 @@
 	}
 	var budgets []fleet.BudgetID
 	for _, w := range view.Config.Workspaces {
-		if w.Prepaid != nil {
+		if w.Prepaid != nil && s.holds(fleet.BudgetID(w.ID)) {
 			budgets = append(budgets, fleet.BudgetID(w.ID))
 		}
 	}
-	keeper.Hold(int64(lease.MeteredPerMille/s.nodes()), budgets)
+	keeper.Hold(int64(lease.MeteredPerMille/min(s.nodes(), holdersOfBudget)), budgets)
 }
 
 // Configured implements uplink.Watcher.
@@ -277,6 +293,8 @@
 		r:       r,
 		view:    s.view.Load(),
 		arrived: clock.Boot(),
+
+		lastOfConnection: isLast(r),
 	}
 	x.deadline = x.arrived
 	if s.cfg.MaxInFlight > 0 && inFlight > s.cfg.MaxInFlight {
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -7,7 +7,6 @@
 
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -67,11 +66,12 @@
 func (l lenders) Borrow(ctx context.Context, budget fleet.BudgetID, wanted fleet.Tokens) fleet.Tokens {
 	s := l.server
 	total := fleet.Tokens(0)
-	reports := s.cfg.Link.Roster()
 	asked := 0
-	for _, i := range rand.Perm(len(reports)) {
-		report := reports[i]
-		if !report.Callers.IsValid() || report.State == roster.StateDead || report.Holder.Node == s.cfg.Node {
+	nodes := s.holdersOf(budget)
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	for _, node := range nodes {
+		address, ok := s.peers.address(node)
+		if !ok {
 			continue
 		}
 		if asked++; asked > maxLenders || total >= wanted || ctx.Err() != nil {
@@ -79,13 +79,13 @@
 		}
 		call, cancel := context.WithTimeout(ctx, lendTimeout)
 		answer := LendAnswer{}
-		err := s.cfg.Nodes.Call(call, report.Wire, MethodLend, LendRequest{
+		err := s.cfg.Nodes.Call(call, address, MethodLend, LendRequest{
 			Budget: budget,
 			Wanted: wanted - total,
 		}, &answer)
 		cancel()
 		if err != nil {
-			s.cfg.Log.Warn(event.QuotaLent).Str("budget", string(budget)).Str("from", string(report.Holder.Node)).Err(err).Msg("an entry node did not lend")
+			s.cfg.Log.Warn(event.QuotaLent).Str("budget", string(budget)).Str("from", string(node)).Err(err).Msg("an entry node did not lend")
 			continue
 		}
 		total += answer.Lent
--- /dev/null
+++ b/gateway/mesh_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// mesh connects the servers of some entry nodes, and a ledger in place of the control
+// group. Nodes that are cut do not answer.
+type mesh struct {
+	servers map[netip.AddrPort]*Server
+	reports []roster.Report
+	cut     map[netip.AddrPort]bool
+	calls   atomic.Int64
+
+	mu       sync.Mutex
+	ledger   *ledger.State
+	commands int
+	// off cuts all nodes off from the ledger.
+	off bool
+}
+
+// meshLink is one node's link.
+type meshLink struct {
+	*mesh
+	holder fleet.Holder
+}
+
+func newMesh(t *testing.T, nodes int) (*mesh, []*Server) {
+	m := &mesh{
+		servers: map[netip.AddrPort]*Server{},
+		cut:     map[netip.AddrPort]bool{},
+		ledger:  ledger.New(),
+	}
+	for i := range nodes {
+		m.reports = append(m.reports, roster.Report{
+			Holder: fleet.Holder{
+				Node:        fleet.NodeID(fmt.Sprintf("n%d", i)),
+				Incarnation: 1,
+			},
+			State:   roster.StateUp,
+			Callers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			Wire:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 90),
+		})
+		m.ledger.Join(m.reports[i].Holder)
+	}
+	var all []*Server
+	for _, report := range m.reports {
+		s := New(Config{
+			Node: report.Holder.Node,
+			Link: meshLink{
+				mesh:   m,
+				holder: report.Holder,
+			},
+			Nodes: m,
+			Log:   event.New(io.Discard, string(report.Holder.Node)),
+		})
+		t.Cleanup(func() {
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = s.Close(ended)
+		})
+		s.Shared(nodes)
+		m.servers[report.Wire] = s
+		all = append(all, s)
+	}
+	return m, all
+}
+
+// Submit implements Link.
+func (m *mesh) Submit(_ context.Context, command control.Command) (control.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.off {
+		return control.Result{}, eris.New("the control group is cut off")
+	}
+	m.commands++
+	result := control.Result{}
+	for _, change := range command.Leases {
+		answer, recalls := m.ledger.ChangeLease(change)
+		result.Leases = append(result.Leases, answer)
+		for _, recall := range recalls {
+			for i, report := range m.reports {
+				if report.Holder == recall.Holder {
+					go m.servers[m.reports[i].Wire].Recalled([]ledger.Recall{recall})
+				}
+			}
+		}
+	}
+	return result, nil
+}
+
+func (l meshLink) Holder() fleet.Holder { return l.holder }
+
+// Fresh implements Link.
+func (m *mesh) Fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.off
+}
+
+// Roster implements Link.
+func (m *mesh) Roster() []roster.Report { return m.reports }
+
+// Call implements Caller.
+func (m *mesh) Call(ctx context.Context, address netip.AddrPort, method wire.Method, request, response any) error {
+	m.calls.Add(1)
+	if m.cut[address] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	s := m.servers[address]
+	handle := map[wire.Method]wire.CallHandler{
+		MethodClaim: s.HandleClaim,
+		MethodDraw:  s.HandleDraw,
+		MethodLend:  s.HandleLend,
+	}[method]
+	answer, err := handle(ctx, "", body)
+	if err != nil {
+		return err
+	}
+	if body, err = cbor.Marshal(answer); err != nil {
+		return err
+	}
+	return wire.Decode(body, response)
+}
+
+// Send implements Caller.
+func (m *mesh) Send(address netip.AddrPort, method wire.Method, value any) {
+	body, err := cbor.Marshal(value)
+	if err != nil || m.cut[address] || m.servers[address] == nil {
+		return
+	}
+	switch method {
+	case MethodBoard:
+		m.servers[address].HandleBoard("", body)
+	case MethodReturn:
+		m.servers[address].HandleReturn("", body)
+	}
+}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -114,7 +114,7 @@
 func (x *exchange) reject(status int, cause Cause) {
 	x.status = status
 	x.cause = cause
-	x.closeIfStopping()
+	x.closeConnection()
 	x.w.Header().Set("Content-Type", "application/json")
 	body := `{"error":"` + string(cause) + `"}`
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -128,7 +128,7 @@
 	x.status = got.status
 	x.cause = cause
 	x.s.cfg.Protocol.Deliver(x.w.Header(), got.header)
-	x.closeIfStopping()
+	x.closeConnection()
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	}
@@ -138,10 +138,10 @@
 	x.logEnd(err)
 }
 
-// closeIfStopping tells the caller to use another connection, which the directory
-// leads elsewhere.
-func (x *exchange) closeIfStopping() {
-	if x.s.stopping.Load() {
+// closeConnection tells the caller to use another connection, where the directory leads it
+// elsewhere: because the node is stopping, or because this one has had its requests.
+func (x *exchange) closeConnection() {
+	if x.s.stopping.Load() || x.lastOfConnection {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,7 +53,7 @@
 	x.answering = true
 	x.status = in.Status
 	x.s.cfg.Protocol.Deliver(x.w.Header(), in.Header)
-	x.closeIfStopping()
+	x.closeConnection()
 	x.w.WriteHeader(in.Status)
 	x.s.firstByte(x)
 }
--- a/keepers/keepers.go
+++ b/keepers/keepers.go
@@ -56,6 +56,9 @@
 	return best
 }
 
+// All returns the keepers.
+func (s Set) All() []Node { return s.nodes }
+
 // First returns the n keepers that keep a copy of what a key names.
 func (s Set) First(key string, n int) []Node {
 	if len(s.nodes) <= n {
--- a/lease/metered.go
+++ b/lease/metered.go
@@ -61,12 +61,14 @@
 	return !q.bound.allows(used, now) || q.pendingBound != nil && !q.pendingBound.allows(used, now)
 }
 
-// Hold sets the part of a metered budget's remainder that the pool keeps, and asks
-// for it for each of the budgets at once: a network partition may come before their
-// first request.
+// Hold sets the budgets of which the pool keeps a part of what remains, and asks for it
+// at once: a network partition may come before their first request. What it has of others
+// is given back.
 func (p *Pool) Hold(perMille int64, budgets []fleet.BudgetID, now time.Duration) {
 	p.holdPerMille = perMille
+	p.held = map[fleet.BudgetID]bool{}
 	for _, id := range budgets {
+		p.held[id] = true
 		p.quota(id, now).wanted = true
 	}
 }
@@ -119,6 +121,9 @@
 // it has far beyond. A report is due whenever something was spent, and asking with it
 // costs nothing.
 func (p *Pool) meteredChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
+	if !p.held[id] {
+		return p.unheldChange(id, q, now)
+	}
 	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
 	limited := q.need > 0 && p.limited(q, q.need, now)
 	due := (q.spent > 0 || q.wanted || now-q.usedAt < reportFor) && now-q.askedAt >= reportInterval
@@ -147,6 +152,41 @@
 	return change
 }
 
+// unheldChange gives back what the pool has of a budget that others hold. Only where none
+// of them could be asked does it want what a request needs.
+func (p *Pool) unheldChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
+	own := max(q.free-q.foreign, 0)
+	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	due := (own > 0 || q.spent > 0) && now-q.askedAt >= reportInterval
+	if !short && !due {
+		return nil
+	}
+	q.askedAt = now
+	q.wanted = false
+	change := p.change(id, q)
+	if q.need == 0 {
+		change.Give = own
+		q.free -= own
+	}
+	p.limit(q, change, now)
+	change.Need = max(q.need-q.free, 0)
+	change.Want = change.Need
+	return change
+}
+
+// TakeForeign takes out what other nodes lent beyond an amount that is kept as change.
+func (p *Pool) TakeForeign(budget fleet.BudgetID, keep fleet.Tokens, now time.Duration) fleet.Tokens {
+	q := p.quota(budget, now)
+	amount := max(min(q.foreign-keep, q.free), 0)
+	q.free -= amount
+	q.foreign -= amount
+	q.bound.level -= amount
+	if q.pendingBound != nil {
+		q.pendingBound.level -= amount
+	}
+	return amount
+}
+
 // limit names how far the use may rise. The less the room, the less is lost with a
 // killed process, and the sooner a workspace that sends more than usual must wait for
 // the next change.
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -78,6 +78,8 @@
 	// holdPerMille is the part of a metered budget's remainder that this
 	// holder keeps.
 	holdPerMille int64
+	// held are the metered budgets of which it keeps that part.
+	held map[fleet.BudgetID]bool
 }
 
 type quota struct {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/waxwingreel/waxwingreel/entry"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/gateway"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/orders"
@@ -349,6 +350,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    64 << 10,
 		ErrorLog:          n.serverLog(),
+		ConnContext:       gateway.ConnContext,
 	}
 	n.wait.Go(func() { _ = server.Serve(listener) })
 	return server, nil
--- a/node/site.go
+++ b/node/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stdlog "log"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -92,6 +93,8 @@
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
 	n.endpoint.HandleCall(gateway.MethodClaim, g.HandleClaim)
 	n.endpoint.HandleMessage(gateway.MethodBoard, g.HandleBoard)
+	n.endpoint.HandleCall(gateway.MethodDraw, g.HandleDraw)
+	n.endpoint.HandleMessage(gateway.MethodReturn, g.HandleReturn)
 	n.link.SetHandler(g)
 	n.link.SetWatcher(g)
 	n.read(discovery.Config{
@@ -184,6 +187,8 @@
 	if !n.siteReady() {
 		entries = slices.DeleteFunc(entries, func(a netip.AddrPort) bool { return a == own })
 	}
+	// A caller reads only so many: each is told others.
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	return entries
 }
 
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -50,6 +50,28 @@
 	Fresh func() bool
 	// Peers, where it is set, lends quota while the ledger cannot be reached.
 	Peers Peers
+	// Holders, where it is set, hold quota for this node, unless it is one of them.
+	Holders Holders
+}
+
+// Holders are the nodes that hold a budget's quota for all others. In a large fleet these
+// are few: spread over all nodes, a lease would be smaller than a single request.
+type Holders interface {
+	// Holds reports whether this node is one of them.
+	Holds(budget fleet.BudgetID) bool
+	// Draw asks them for quota.
+	Draw(ctx context.Context, budget fleet.BudgetID, wanted fleet.Tokens) Drawn
+	// Return gives quota back to them, without waiting.
+	Return(budget fleet.BudgetID, amount fleet.Tokens)
+}
+
+// Drawn is what holders gave.
+type Drawn struct {
+	Tokens fleet.Tokens
+	// Reached says that at least one of them was asked and answered.
+	Reached bool
+	// Short tells why there was not enough.
+	Short *Shortage
 }
 
 // Peers are the other nodes that hold quota.
@@ -65,6 +87,7 @@
 	patience time.Duration
 	fresh    func() bool
 	peers    Peers
+	holders  Holders
 	loans    map[fleet.BudgetID]*loan
 	pool     *lease.Pool
 	waiting  map[fleet.BudgetID][]*waiter
@@ -90,6 +113,7 @@
 		patience: cfg.Patience,
 		fresh:    cfg.Fresh,
 		peers:    cfg.Peers,
+		holders:  cfg.Holders,
 		loans:    map[fleet.BudgetID]*loan{},
 		pool:     cfg.Pool,
 		waiting:  map[fleet.BudgetID][]*waiter{},
@@ -98,9 +122,56 @@
 	return k
 }
 
-// Reserve sets quota aside, asking the ledger for more if need be. It returns nil
-// when that is done.
+// Reserve sets quota aside, asking the budget's holders or the ledger for more if need
+// be. It returns nil when that is done.
 func (k *Keeper) Reserve(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) *Shortage {
+	if k.holders != nil && !k.holders.Holds(budget) {
+		if short, done := k.draw(ctx, budget, amount); done {
+			return short
+		}
+	}
+	return k.Own(ctx, budget, amount)
+}
+
+// drawRounds bounds how often a request draws, since another one may use what it drew.
+const drawRounds = 3
+
+// keptChange is the quota of a budget that a node which does not hold it keeps from what
+// requests did not use.
+const keptChange = 1000
+
+// draw sets quota aside that the budget's holders give. It reports false where none of them
+// could be asked.
+func (k *Keeper) draw(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) (short *Shortage, done bool) {
+	got := fleet.Tokens(0)
+	for range drawRounds {
+		lacks, reserved := fleet.Tokens(0), false
+		k.Ask(func() {
+			now := clock.Boot()
+			k.pool.Borrowed(budget, got, now)
+			reserved = k.pool.Reserve(budget, amount, now)
+			if lacks = k.pool.Lacks(budget, amount); lacks == 0 {
+				lacks = amount
+			}
+		})
+		if reserved {
+			return nil, true
+		}
+		drawn := k.holders.Draw(ctx, budget, lacks)
+		if !drawn.Reached {
+			return nil, false
+		}
+		if drawn.Tokens == 0 {
+			return drawn.Short, true
+		}
+		got = drawn.Tokens
+	}
+	k.Do(func() { k.pool.Borrowed(budget, got, clock.Boot()) })
+	return &Shortage{Answered: true}, true
+}
+
+// Own sets quota of this node's own leases aside, asking the ledger for more if need be.
+func (k *Keeper) Own(ctx context.Context, budget fleet.BudgetID, amount fleet.Tokens) *Shortage {
 	w := &waiter{
 		amount:   amount,
 		deadline: clock.Boot() + k.patience,
@@ -217,6 +288,26 @@
 	k.Do(func() {
 		k.pool.Release(budget, reserved, spent, clock.Boot())
 		k.serveWaiters(budget)
+		k.returnChange(budget, keptChange)
+	})
+}
+
+// returnChange gives what requests did not use back to the budget's holders, but for a
+// little.
+func (k *Keeper) returnChange(budget fleet.BudgetID, keep fleet.Tokens) {
+	if k.holders == nil || k.holders.Holds(budget) {
+		return
+	}
+	if amount := k.pool.TakeForeign(budget, keep, clock.Boot()); amount > 0 {
+		k.holders.Return(budget, amount)
+	}
+}
+
+// Returned takes in quota that another node drew and did not use.
+func (k *Keeper) Returned(budget fleet.BudgetID, amount fleet.Tokens) {
+	k.Do(func() {
+		k.pool.Borrowed(budget, amount, clock.Boot())
+		k.serveWaiters(budget)
 	})
 }
 
@@ -367,7 +458,12 @@
 // GiveAll returns all free quota, for a planned stop.
 func (k *Keeper) GiveAll(ctx context.Context) error {
 	var changes []ledger.LeaseChange
-	k.Ask(func() { changes = k.pool.GiveAll() })
+	k.Ask(func() {
+		for _, h := range k.pool.Holdings() {
+			k.returnChange(h.Budget, 0)
+		}
+		changes = k.pool.GiveAll()
+	})
 	if len(changes) == 0 {
 		return nil
 	}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -66,7 +66,7 @@
 	// Listed hears of a newer list of instances.
 	Listed(list control.InstanceList)
 	// Shared hears how many entry nodes share budgets and limits, this one
-	// included, whenever that changes.
+	// included, whenever that changes or other nodes are up.
 	Shared(nodes int)
 }
 
@@ -107,6 +107,9 @@
 	view     atomic.Pointer[catalog.View]
 	reports  atomic.Pointer[[]roster.Report]
 	sharers  atomic.Int64
+	// up are the entry nodes that were up by the last roster. It belongs to the
+	// goroutine that receives updates.
+	up       []fleet.NodeID
 	leader   atomic.Pointer[netip.AddrPort]
 	fresh    atomic.Bool
 	rejected atomic.Bool
@@ -453,17 +456,24 @@
 	l.countSharers(reports)
 }
 
-// countSharers tells the watcher when the number of entry nodes has changed.
+// countSharers tells the watcher when the entry nodes that are up, or their number, have
+// changed.
 func (l *Link) countSharers(reports []roster.Report) {
 	n := int64(0)
+	var up []fleet.NodeID
 	for _, report := range reports {
-		if report.Callers.IsValid() && report.State != roster.StateDead {
-			n++
+		if !report.Callers.IsValid() || report.State == roster.StateDead {
+			continue
+		}
+		n++
+		if report.State == roster.StateUp {
+			up = append(up, report.Holder.Node)
 		}
 	}
-	if l.sharers.Swap(n) == n {
+	if l.sharers.Swap(n) == n && slices.Equal(l.up, up) {
 		return
 	}
+	l.up = up
 	if watcher := l.watcher.Load(); watcher != nil {
 		(*watcher).Shared(int(n))
 	}
