--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -35,7 +35,7 @@
 	runningCost = 150 * time.Microsecond
 	// farCost is what a request to another data centre loses: a round trip of some
 	// milliseconds, and its bytes, which users pay for more than for a short wait.
-	farCost = 25 * time.Millisecond
+	farCost = 100 * time.Millisecond
 	// errorCost is the wait that a server with nothing but errors is worth.
 	errorCost = 2 * time.Second
 	// errorMemory is the weight of the latest outcome in a server's error rate.
--- a/simulator/play.go
+++ b/simulator/play.go
@@ -123,8 +123,9 @@
 }
 
 type node struct {
-	id     fleet.NodeID
-	placer Placer
+	id         fleet.NodeID
+	dataCentre fleet.DataCentre
+	placer     Placer
 }
 
 // learner is a Placer that can use boards.
@@ -176,6 +177,9 @@
 	nodes    []*node
 	engines  []*engine
 	requests []*request
+	// sent counts what was sent to engines, far what of it to another data centre.
+	sent int
+	far  int
 	// board is that of all engines, nil where nodes decide alone.
 	board *placement.Board
 	// times are the factors on the classes' rates, hot the parts of their requests that
@@ -210,8 +214,9 @@
 	}
 	for i := range pattern.Nodes {
 		p.nodes = append(p.nodes, &node{
-			id:     fleet.NodeID(fmt.Sprint(i)),
-			placer: policy.New(p.dataCentre(i), pattern.Seed+uint64(i)),
+			id:         fleet.NodeID(fmt.Sprint(i)),
+			dataCentre: p.dataCentre(i),
+			placer:     policy.New(p.dataCentre(i), pattern.Seed+uint64(i)),
 		})
 	}
 	if policy.Boards {
@@ -397,6 +402,10 @@
 // send sends a request to the engine that its node chose.
 func (p *play) send(w *work) {
 	e := p.engine(w.placed.Instance.ID)
+	p.sent++
+	if e.instance.DataCentre != w.node.dataCentre {
+		p.far++
+	}
 	p.after(p.pattern.Lag, func() {
 		if e.down || p.rng.Float64() < e.failing {
 			p.failed(w)
--- a/simulator/report.go
+++ b/simulator/report.go
@@ -22,6 +22,9 @@
 	Read    int64
 	Again   int64
 	Prompts int64
+	// Far counts the requests that were sent to another data centre, Sent all.
+	Far  int
+	Sent int
 	// WorstWorkspace is the part of the worst-served tenth of workspaces' requests
 	// that began in time, in per mille.
 	WorstWorkspace float64
@@ -50,6 +53,8 @@
 	r := &Report{
 		Pattern: p.pattern.Name,
 		Policy:  policy,
+		Far:     p.far,
+		Sent:    p.sent,
 		Seconds: make([]Second, int(p.pattern.Length/time.Second)+1),
 	}
 	byWorkspace := make([]Second, max(p.pattern.Workspaces, 1))
@@ -124,6 +129,8 @@
 	switch name {
 	case "imbalance":
 		return r.Imbalance, nil
+	case "far":
+		return perMille(r.Far, r.Sent), nil
 	case "worstWorkspace":
 		return r.WorstWorkspace, nil
 	case "cached":
@@ -146,13 +153,13 @@
 			return float64(c.P99.Milliseconds()), nil
 		}
 	}
-	return 0, eris.Errorf("no figure %q of class %q; hint: inAim, late, lost or p99Millis of a class, imbalance, cached, again, worstWorkspace", name, class)
+	return 0, eris.Errorf("no figure %q of class %q; hint: inAim, late, lost or p99Millis of a class, imbalance, cached, again, far, worstWorkspace", name, class)
 }
 
 // Write writes the report as a table.
 func (r *Report) Write(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "%s, placed by %s: busiest engine %.2f of the mean, %.0f per mille of prompts cached, %.0f per mille of what was read had been before, worst tenth of workspaces %.0f per mille in time\n",
-		r.Pattern, r.Policy, r.Imbalance, r.figure("cached"), r.figure("again"), r.WorstWorkspace)
+	_, _ = fmt.Fprintf(w, "%s, placed by %s: busiest engine %.2f of the mean, %.0f per mille of prompts cached, %.0f per mille of what was read had been before, %.0f per mille sent far, worst tenth of workspaces %.0f per mille in time\n",
+		r.Pattern, r.Policy, r.Imbalance, r.figure("cached"), r.figure("again"), r.figure("far"), r.WorstWorkspace)
 	for _, c := range r.Classes {
 		_, _ = fmt.Fprintf(w, "  %-12s asked %6d  in time %6d  late %5d  lost %5d  p50 %6s  p99 %6s\n",
 			c.Class, c.Asked, c.InAim, c.Late, c.Asked-c.InAim-c.Late, c.P50.Round(time.Millisecond), c.P99.Round(time.Millisecond))
