explain tells a partition that was not noticed yet

Cause: 5 of 30 traced refusals read 'more did not come in time' a second before their node noticed a partition (docs/FINDINGS.md). The verdict now looks at whether the node lost the control group within two seconds; where holders are asked, the line says whether they were cut off. Test: TestPartitionThatWasNotNoticedYet failed first.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -110,10 +110,27 @@
 		story.Cause, _ = end.Fields["cause"].(string)
 	}
 	story.Verdict = verdict(end, story)
+	if gateway.Cause(story.Cause) == gateway.CauseNoQuota && end.Fields["controlFresh"] == true && lostSoon(lines, end) {
+		story.Verdict = "this node's quota was used up and more did not come: the node lost the control group a moment later, so the partition had begun and was not noticed yet; the budget itself may have more"
+	}
 	story.Beliefs = beliefs(lines, end.Node, own[0].Time, end.Time)
 	return story, nil
 }
 
+// noticed is how long a node takes to notice that the control group is out of reach.
+const noticed = 2 * time.Second
+
+// lostSoon reports whether a line's node lost the control group soon after it.
+func lostSoon(lines []Line, end Line) bool {
+	for _, line := range lines {
+		after := line.Time.Sub(end.Time)
+		if line.Node == end.Node && line.Event == event.ControlLost && after > 0 && after < noticed {
+			return true
+		}
+	}
+	return false
+}
+
 func number(line Line, field string) float64 {
 	n, _ := line.Fields[field].(float64)
 	return n
@@ -154,6 +171,9 @@
 		if end.Fields["controlFresh"] == false {
 			return "its workspace's quota on this node was used up while the control group could not be reached, and no other node could lend; the budget itself may have more"
 		}
+		if end.Fields["cutOff"] == true {
+			return "the nodes that hold its workspace's quota had used theirs up while the control group could not be reached; the budget itself may have more"
+		}
 		return "this node's quota was used up and more did not come in time; the ledger may have been electing a leader or recalling quota"
 	case gateway.CauseBudgetSpent:
 		return fmt.Sprintf("its workspace's budget is spent: the ledger had %v tokens free and %v with other nodes, where it could cost %v",
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -33,6 +33,48 @@
 	}
 }
 
+// TestPartitionThatWasNotNoticedYet tells a refusal for quota just before a node lost the
+// control group from one in no trouble.
+func TestPartitionThatWasNotNoticedYet(t *testing.T) {
+	const refused = `{"time":"2026-06-21T05:08:16.000Z","node":"n1","event":406,"request":"r","status":503,"cause":"noQuota","controlFresh":true}
+`
+	for _, c := range []struct {
+		name string
+		more string
+		want string
+	}{
+		{
+			name: "lost a second later",
+			more: `{"time":"2026-06-21T05:08:17.000Z","node":"n1","event":302}`,
+			want: "not noticed yet",
+		},
+		{
+			name: "lost much later",
+			more: `{"time":"2026-06-21T05:08:26.000Z","node":"n1","event":302}`,
+			want: "did not come in time",
+		},
+		{
+			name: "lost by another node",
+			more: `{"time":"2026-06-21T05:08:17.000Z","node":"n2","event":302}`,
+			want: "did not come in time",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			lines, err := explain.Read(strings.NewReader(refused + c.more))
+			if err != nil {
+				t.Fatal(err)
+			}
+			story, err := explain.Request("r", lines)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(story.Verdict, c.want) {
+				t.Errorf("got verdict %q, want it to contain %q", story.Verdict, c.want)
+			}
+		})
+	}
+}
+
 func readLog(t *testing.T) []explain.Line {
 	t.Helper()
 	file, err := os.Open("../examples/logs/incident.log")
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -208,6 +208,7 @@
 	}
 	if x.short != nil {
 		line = line.Bool("ledgerAnswered", x.short.Answered).
+			Bool("cutOff", x.short.CutOff).
 			Bool("recalling", x.short.Last.Recalling).
 			Int64("budgetFreeTokens", int64(x.short.Last.Free)).
 			Int64("leasedElsewhereTokens", int64(x.short.Last.LeasedElsewhere))
