--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 	WAXWINGREEL_PROVE=all $(GO) test -count=1 -timeout 15m -v ./prove
 
 # Fresh seeds of random faults over real processes, with the logs of those that fail:
-# make soak SEEDS=50, or SEEDS=seed=N for one again; SIZE=large for a fleet up to the
-# limits of a test machine.
+# make soak SEEDS=50, or SEEDS=seed=N for one again; SIZE=wide for more entry VMs than hold a
+# budget, SIZE=large for a fleet up to the limits of a test machine.
 SEEDS ?= 8
 soak:
 	WAXWINGREEL_SOAK=$(SEEDS) WAXWINGREEL_SOAK_SIZE=$(SIZE) WAXWINGREEL_SOAK_LOGS=bin/soak $(GO) test -count=1 -timeout 60m -parallel 4 -v ./soak -run TestFresh
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,7 +15,8 @@
 const (
 	// seedsVariable is how many fresh seeds to run, or "seed=N" for one of them.
 	seedsVariable = "WAXWINGREEL_SOAK"
-	// sizeVariable is "large" for a fleet up to the limits of a test machine.
+	// sizeVariable is "wide" for more entry VMs than hold a budget, "large" for a fleet
+	// up to the limits of a test machine.
 	sizeVariable = "WAXWINGREEL_SOAK_SIZE"
 )
 
@@ -28,6 +29,12 @@
 		control: 3,
 		callers: 12,
 	},
+	// More entry VMs than hold a budget, so that some draw.
+	"wide": {
+		entries: 12,
+		control: 3,
+		callers: 30,
+	},
 	"large": {
 		entries: 60,
 		control: 5,
