--- a/control/metrics.go
+++ b/control/metrics.go
@@ -45,19 +45,12 @@
 
 // gauges tells the present values.
 func (r *Replica) gauges(gauge func(name string, value float64)) {
-	truth := func(name string, is bool) {
-		value := 0.0
-		if is {
-			value = 1
-		}
-		gauge(name, value)
-	}
 	r.do(func() {
 		now := clock.Boot()
 		status := r.core.Status()
-		truth("control_leads", r.core.HoldsLease(now))
-		truth("control_has_leader", r.core.Fresh(now, freshWithin))
-		truth("control_failed", r.failed != nil)
+		gauge("control_leads", metrics.Truth(r.core.HoldsLease(now)))
+		gauge("control_has_leader", metrics.Truth(r.core.Fresh(now, freshWithin)))
+		gauge("control_failed", metrics.Truth(r.failed != nil))
 		gauge("control_term", float64(status.Term))
 		gauge("control_commit_index", float64(status.Commit))
 		gauge("control_applied_index", float64(status.Applied))
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -109,10 +109,7 @@
 		story.Status = int(number(end, "status"))
 		story.Cause, _ = end.Fields["cause"].(string)
 	}
-	story.Verdict = verdict(end, story)
-	if gateway.Cause(story.Cause) == gateway.CauseNoQuota && end.Fields["controlFresh"] == true && lostSoon(lines, end) {
-		story.Verdict = "this node's quota was used up and more did not come: the node lost the control group a moment later, so the partition had begun and was not noticed yet; the budget itself may have more"
-	}
+	story.Verdict = verdict(end, story, lines)
 	story.Beliefs = beliefs(lines, end.Node, own[0].Time, end.Time)
 	return story, nil
 }
@@ -160,7 +157,7 @@
 }
 
 // verdict says in plain words why the request ended as it did.
-func verdict(end Line, story Story) string {
+func verdict(end Line, story Story, lines []Line) string {
 	switch gateway.Cause(story.Cause) {
 	case gateway.CauseNone:
 		if story.Status == 0 {
@@ -168,13 +165,7 @@
 		}
 		return "it was answered by an instance"
 	case gateway.CauseNoQuota:
-		if end.Fields["controlFresh"] == false {
-			return "its workspace's quota on this node was used up while the control group could not be reached, and no other node could lend; the budget itself may have more"
-		}
-		if end.Fields["cutOff"] == true {
-			return "the nodes that hold its workspace's quota had used theirs up while the control group could not be reached; the budget itself may have more"
-		}
-		return "this node's quota was used up and more did not come in time; the ledger may have been electing a leader or recalling quota"
+		return quotaVerdict(end, lines)
 	case gateway.CauseBudgetSpent:
 		return fmt.Sprintf("its workspace's budget is spent: the ledger had %v tokens free and %v with other nodes, where it could cost %v",
 			end.Fields["budgetFreeTokens"], end.Fields["leasedElsewhereTokens"], end.Fields["costTokens"])
@@ -204,6 +195,20 @@
 	return "cause: " + story.Cause
 }
 
+// quotaVerdict says why there was no quota.
+func quotaVerdict(end Line, lines []Line) string {
+	fresh := end.Fields["controlFresh"]
+	switch {
+	case fresh == false:
+		return "its workspace's quota on this node was used up while the control group could not be reached, and no other node could lend; the budget itself may have more"
+	case fresh == true && lostSoon(lines, end):
+		return "this node's quota was used up and more did not come: the node lost the control group a moment later, so the partition had begun and was not noticed yet; the budget itself may have more"
+	case end.Fields["cutOff"] == true:
+		return "the nodes that hold its workspace's quota had used theirs up while the control group could not be reached; the budget itself may have more"
+	}
+	return "this node's quota was used up and more did not come in time; the ledger may have been electing a leader or recalling quota"
+}
+
 // believed are the events that change what a node believes or is.
 var believed = map[event.ID]bool{
 	event.NodeStarted:      true,
--- a/gateway/boards.go
+++ b/gateway/boards.go
@@ -26,8 +26,6 @@
 	// claimTimeout is several round trips inside a region. A board that takes longer
 	// is not worth the wait.
 	claimTimeout = 15 * time.Millisecond
-	// claimRounds is how many engines a request claims at most.
-	claimRounds = 3
 )
 
 // ClaimAnswer says what others have claimed of the engine.
@@ -143,7 +141,7 @@
 	if !ok || x.service.Engine == nil || ask.Prompt == 0 {
 		return placed, listAge, ok
 	}
-	for range claimRounds {
+	for range placement.ClaimRounds {
 		claim := x.claim(placed)
 		others, told := x.s.boards.claim(x.ctx, claim)
 		if !told {
--- a/gateway/draw.go
+++ b/gateway/draw.go
@@ -7,7 +7,7 @@
 
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/keepers"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -41,11 +41,8 @@
 
 // DrawAnswer holds what was given, all that was wanted or nothing, and why nothing was.
 type DrawAnswer struct {
-	Tokens   fleet.Tokens       `json:"tokens,omitempty"`
-	Answered bool               `json:"answered,omitempty"`
-	Spent    bool               `json:"spent,omitempty"`
-	CutOff   bool               `json:"cutOff,omitempty"`
-	Last     ledger.LeaseResult `json:"last,omitzero"`
+	Tokens fleet.Tokens   `json:"tokens,omitempty"`
+	Short  quota.Shortage `json:"short,omitzero"`
 }
 
 // ReturnMessage gives drawn quota back.
@@ -82,12 +79,7 @@
 	if len(first) < holdersOfBudget {
 		return true
 	}
-	for _, n := range first {
-		if n.ID == s.cfg.Node {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(first, func(n keepers.Node) bool { return n.ID == s.cfg.Node })
 }
 
 // holdersOf returns a budget's holders, those of the own data centre first, and the others
@@ -114,11 +106,7 @@
 	s := h.server
 	drawn := quota.Drawn{}
 	asked := 0
-	for _, node := range s.holdersOf(budget) {
-		address, ok := s.peers.address(node)
-		if !ok {
-			continue
-		}
+	for node, address := range s.peers.reachable(s.holdersOf(budget)) {
 		if asked++; asked > maxDraws || ctx.Err() != nil {
 			break
 		}
@@ -143,13 +131,8 @@
 			return drawn
 		}
 		s.countDraw("short")
-		drawn.Short = &quota.Shortage{
-			Answered: answer.Answered,
-			Spent:    answer.Spent,
-			CutOff:   answer.CutOff,
-			Last:     answer.Last,
-		}
-		if answer.Spent {
+		drawn.Short = &answer.Short
+		if answer.Short.Spent {
 			return drawn
 		}
 	}
@@ -166,14 +149,12 @@
 // Return implements quota.Holders.
 func (h holders) Return(budget fleet.BudgetID, amount fleet.Tokens) {
 	s := h.server
-	for _, node := range s.holdersOf(budget) {
-		if address, ok := s.peers.address(node); ok {
-			s.cfg.Nodes.Send(address, MethodReturn, ReturnMessage{
-				Budget: budget,
-				Tokens: amount,
-			})
-			return
-		}
+	for _, address := range s.peers.reachable(s.holdersOf(budget)) {
+		s.cfg.Nodes.Send(address, MethodReturn, ReturnMessage{
+			Budget: budget,
+			Tokens: amount,
+		})
+		return
 	}
 	s.cfg.Log.Warn(event.QuotaLost).Str("budget", string(budget)).Int64("tokens", int64(amount)).Msg("quota that was not used could not be given back to a holder; it counts as spent")
 }
@@ -191,12 +172,7 @@
 	ctx, cancel := context.WithTimeout(ctx, drawPatience)
 	defer cancel()
 	if short := keeper.Own(ctx, request.Budget, request.Wanted); short != nil {
-		return DrawAnswer{
-			Answered: short.Answered,
-			Spent:    short.Spent,
-			CutOff:   short.CutOff,
-			Last:     short.Last,
-		}, nil
+		return DrawAnswer{Short: *short}, nil
 	}
 	keeper.Release(request.Budget, request.Wanted, request.Wanted)
 	return DrawAnswer{Tokens: request.Wanted}, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -312,7 +312,7 @@
 func (s *Server) Entries() []netip.AddrPort {
 	var entries []netip.AddrPort
 	for _, report := range s.cfg.Link.Roster() {
-		if report.State == roster.StateUp && report.Callers.IsValid() {
+		if report.TakesCallers() {
 			entries = append(entries, report.Callers)
 		}
 	}
--- a/gateway/lend.go
+++ b/gateway/lend.go
@@ -69,11 +69,7 @@
 	asked := 0
 	nodes := s.holdersOf(budget)
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	for _, node := range nodes {
-		address, ok := s.peers.address(node)
-		if !ok {
-			continue
-		}
+	for node, address := range s.peers.reachable(nodes) {
 		if asked++; asked > maxLenders || total >= wanted || ctx.Err() != nil {
 			break
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,11 +49,7 @@
 	if view := s.view.Load(); view != nil {
 		gauge("configuration_version", float64(view.Config.Version))
 	}
-	fresh := 0.0
-	if s.cfg.Link.Fresh() {
-		fresh = 1
-	}
-	gauge("control_group_in_reach", fresh)
+	gauge("control_group_in_reach", metrics.Truth(s.cfg.Link.Fresh()))
 	if keeper := s.keeper.Load(); keeper != nil {
 		free, reserved := sum(keeper)
 		gauge("leased_free_tokens", free)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"iter"
 	"net/netip"
 	"sync"
 	"time"
@@ -58,7 +59,7 @@
 	p.wires = map[fleet.NodeID]netip.AddrPort{}
 	var up []keepers.Node
 	for _, report := range reports {
-		if report.Callers.IsValid() && report.State == roster.StateUp {
+		if report.TakesCallers() {
 			up = append(up, keepers.Node{
 				ID:         report.Holder.Node,
 				DataCentre: report.DataCentre,
@@ -78,6 +79,17 @@
 	return address, ok && clock.Boot() >= p.avoided[node]
 }
 
+// reachable yields those of the nodes that may be asked, in their order.
+func (p *peers) reachable(nodes []fleet.NodeID) iter.Seq2[fleet.NodeID, netip.AddrPort] {
+	return func(yield func(fleet.NodeID, netip.AddrPort) bool) {
+		for _, node := range nodes {
+			if address, ok := p.address(node); ok && !yield(node, address) {
+				return
+			}
+		}
+	}
+}
+
 // avoid takes note that a node did not answer.
 func (p *peers) avoid(node fleet.NodeID, err error) {
 	p.mu.Lock()
--- a/keepers/keepers.go
+++ b/keepers/keepers.go
@@ -64,7 +64,11 @@
 	if len(s.nodes) <= n {
 		return s.nodes
 	}
+	weights := make(map[fleet.NodeID]uint64, len(s.nodes))
+	for _, node := range s.nodes {
+		weights[node.ID] = weight(node.ID, key)
+	}
 	nodes := slices.Clone(s.nodes)
-	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(weight(b.ID, key), weight(a.ID, key)) })
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
 	return nodes[:n]
 }
--- a/lease/metered.go
+++ b/lease/metered.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// own is what is free of the holder's own lease.
+func (q *quota) own() fleet.Tokens {
+	return max(q.free-q.foreign, 0)
+}
+
 // meter lets the average over meteredWindow decay.
 func (q *quota) meter(now time.Duration) {
 	if passed := (now - q.rateAt).Seconds(); passed > 0 {
@@ -101,6 +106,12 @@
 // Borrowed takes in what another node lent.
 func (p *Pool) Borrowed(budget fleet.BudgetID, amount fleet.Tokens, now time.Duration) {
 	q := p.quota(budget, now)
+	q.addForeign(amount)
+}
+
+// addForeign adds to what other nodes lent, or takes from it. The bounds move with it: the
+// ledger counts it as spent already.
+func (q *quota) addForeign(amount fleet.Tokens) {
 	q.free += amount
 	q.foreign += amount
 	q.bound.level += amount
@@ -124,7 +135,7 @@
 	if !p.held[id] {
 		return p.unheldChange(id, q, now)
 	}
-	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	short := q.short(now)
 	limited := q.need > 0 && p.limited(q, q.need, now)
 	due := (q.spent > 0 || q.wanted || now-q.usedAt < reportFor) && now-q.askedAt >= reportInterval
 	if !short && !limited && !due {
@@ -141,7 +152,7 @@
 		return change
 	}
 	target := p.meteredTarget(q, now)
-	own := max(q.free-q.foreign, 0)
+	own := q.own()
 	switch {
 	case q.free < target:
 		change.Want = target - q.free + change.Need
@@ -155,8 +166,8 @@
 // unheldChange gives back what the pool has of a budget that others hold. Only where none
 // of them could be asked does it want what a request needs.
 func (p *Pool) unheldChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
-	own := max(q.free-q.foreign, 0)
-	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	own := q.own()
+	short := q.short(now)
 	due := (own > 0 || q.spent > 0) && now-q.askedAt >= reportInterval
 	if !short && !due {
 		return nil
@@ -178,12 +189,7 @@
 func (p *Pool) TakeForeign(budget fleet.BudgetID, keep fleet.Tokens, now time.Duration) fleet.Tokens {
 	q := p.quota(budget, now)
 	amount := max(min(q.foreign-keep, q.free), 0)
-	q.free -= amount
-	q.foreign -= amount
-	q.bound.level -= amount
-	if q.pendingBound != nil {
-		q.pendingBound.level -= amount
-	}
+	q.addForeign(-amount)
 	return amount
 }
 
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -240,6 +240,12 @@
 	return ids
 }
 
+// short reports whether a request waits for more than there is, and the ledger is to be
+// asked for it now.
+func (q *quota) short(now time.Duration) bool {
+	return q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+}
+
 // nextChange decides whether to ask, to give back, or neither. What is given back
 // leaves the pool at once: it must not be spent once the change may be under way.
 func (p *Pool) nextChange(id fleet.BudgetID, q *quota, now time.Duration) *ledger.LeaseChange {
@@ -250,7 +256,7 @@
 		return p.meteredChange(id, q, now)
 	}
 	target := p.target(q, now)
-	short := q.need > q.free && (q.last.Granted > 0 || now-q.askedAt >= needAgainAfter)
+	short := q.short(now)
 	low := q.free < target*floorPerMille/1000 && now-q.askedAt >= askAgainAfter
 	idle := q.free > 0 && q.need == 0 && now-q.usedAt > idleAfter
 	switch {
@@ -342,7 +348,7 @@
 		}
 		change := p.change(id, q)
 		// What other nodes lent is spent for the ledger already.
-		change.Give = max(q.free-q.foreign, 0)
+		change.Give = q.own()
 		change.Limit = q.reserved
 		q.free = 0
 		changes = append(changes, *change)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -95,6 +95,14 @@
 	h.count++
 }
 
+// Truth is the value of a gauge that is 1 while something holds.
+func Truth(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // Gauges adds a function that is asked for present values at each writing.
 func (m *Set) Gauges(ask func(gauge func(name string, value float64))) {
 	m.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -456,7 +456,7 @@
 func (n *Node) KnownEntries() int {
 	known := 0
 	for _, report := range n.link.Roster() {
-		if report.State == roster.StateUp && report.Callers.IsValid() {
+		if report.TakesCallers() {
 			known++
 		}
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -7,6 +7,10 @@
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
+// ClaimRounds is how many engines a node claims at most for one request. The one that it
+// turns to last it claims without hearing of others.
+const ClaimRounds = 3
+
 // Figures of a Board.
 const (
 	// claimLife ends a claim whose node does not say that the first token came: it has
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -375,7 +375,7 @@
 func (f *Forecast) crowding(r ForecastRequest, now time.Duration) time.Duration {
 	f.backlogs = f.backlogs[:0]
 	for _, s := range f.servers {
-		f.backlogs = append(f.backlogs, s.backlog+s.othersBacklog(s.reportedBacklog(r, now), now))
+		f.backlogs = append(f.backlogs, s.queued(r, now))
 	}
 	if len(f.backlogs) == 0 {
 		return 0
@@ -386,7 +386,17 @@
 
 // reportedBacklog guesses what other nodes have the server read, from its report.
 func (s *forecastServer) reportedBacklog(r ForecastRequest, now time.Duration) float64 {
-	return max(float64(s.reportedWaiting-s.waiting), 0) * s.reportWeight(now) * float64(r.Prompt) / 2
+	return s.reportedQueue(now) * float64(r.Prompt) / 2
+}
+
+// reportedQueue guesses how many requests of other nodes wait, from the server's report.
+func (s *forecastServer) reportedQueue(now time.Duration) float64 {
+	return max(float64(s.reportedWaiting-s.waiting), 0) * s.reportWeight(now)
+}
+
+// queued predicts the prompt tokens that the server has to read before a request.
+func (s *forecastServer) queued(r ForecastRequest, now time.Duration) float64 {
+	return s.backlog + s.othersBacklog(s.reportedBacklog(r, now), now)
 }
 
 // reportWeight is what the server's report still counts, 1 for a new one.
@@ -425,18 +435,16 @@
 	}
 	fresh := s.reportWeight(now)
 	others := max(float64(s.reportedRunning-s.running), 0) * fresh
-	queued := max(float64(s.reportedWaiting-s.waiting), 0) * fresh
 	running := float64(s.running) + others
 	if r.Prompt == 0 {
 		work := s.service
 		if work == 0 {
 			work = serviceTime
 		}
-		over := max(running+queued+1-float64(s.instance.Slots), 0)
+		over := max(running+s.reportedQueue(now)+1-float64(s.instance.Slots), 0)
 		return wait + time.Duration((over/float64(max(s.instance.Slots, 1))+running*0.05)*float64(work))
 	}
-	tokens := s.backlog + float64(uncached) + s.othersBacklog(s.reportedBacklog(r, now), now)
-	wait += readingTime(tokens)
+	wait += readingTime(s.queued(r, now) + float64(uncached))
 	return wait + time.Duration(running)*runningCost
 }
 
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -30,13 +30,13 @@
 // Shortage tells why a reservation failed.
 type Shortage struct {
 	// Answered says that the ledger was heard while the request waited.
-	Answered bool
+	Answered bool `json:"answered,omitempty"`
 	// Spent says that the ledger has not enough left and that no holder is left
 	// to give back: waiting longer would not help.
-	Spent bool
+	Spent bool `json:"spent,omitempty"`
 	// CutOff says that the ledger is out of reach and that no peer lent enough.
-	CutOff bool
-	Last   ledger.LeaseResult
+	CutOff bool               `json:"cutOff,omitempty"`
+	Last   ledger.LeaseResult `json:"last,omitzero"`
 }
 
 // Config sets up a Keeper.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -59,6 +59,11 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
+// TakesCallers reports whether callers may be sent to the node.
+func (r Report) TakesCallers() bool {
+	return r.State == StateUp && r.Callers.IsValid()
+}
+
 // Table is a replica's view of the fleet. It is not safe for concurrent use.
 type Table struct {
 	rows map[fleet.NodeID]*row
--- a/simulator/play.go
+++ b/simulator/play.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -267,7 +268,7 @@
 
 // arrivals lets a class's requests arrive one after the other.
 func (p *play) arrivals(c *Class) {
-	rate := c.Rate * cmpOr(p.times[c.Name], 1)
+	rate := c.Rate * cmp.Or(p.times[c.Name], 1)
 	gap := time.Duration(p.rng.ExpFloat64() / rate * float64(time.Second))
 	p.after(gap, func() {
 		if p.now > p.pattern.Length {
@@ -278,13 +279,6 @@
 	})
 }
 
-func cmpOr(a, b float64) float64 {
-	if a == 0 {
-		return b
-	}
-	return a
-}
-
 func (p *play) arrive(c *Class) {
 	// Workspaces and subjects differ in size, as 1, 1/2, 1/3 and so on.
 	own := fleet.Tokens(float64(c.Own)*math.Exp(p.rng.NormFloat64()*0.8-0.32)) + 1
@@ -353,12 +347,9 @@
 		p.send(w)
 		return
 	}
-	p.claim(w, ask, placer, claimRounds)
+	p.claim(w, ask, placer, placement.ClaimRounds)
 }
 
-// claimRounds is how many engines a node claims at most for one request.
-const claimRounds = 3
-
 // claim claims the chosen engine, and turns to another if what others have claimed makes
 // that the better one.
 func (p *play) claim(w *work, ask placement.ForecastRequest, placer learner, rounds int) {
--- a/simulator/report.go
+++ b/simulator/report.go
@@ -130,13 +130,13 @@
 	case "imbalance":
 		return r.Imbalance, nil
 	case "far":
-		return perMille(r.Far, r.Sent), nil
+		return r.far(), nil
 	case "worstWorkspace":
 		return r.WorstWorkspace, nil
 	case "cached":
-		return 1000 - 1000*float64(r.Read)/float64(max(r.Prompts, 1)), nil
+		return r.cached(), nil
 	case "again":
-		return 1000 * float64(r.Again) / float64(max(r.Read, 1)), nil
+		return r.again(), nil
 	}
 	for _, c := range r.Classes {
 		if c.Class != class {
@@ -159,19 +159,26 @@
 // Write writes the report as a table.
 func (r *Report) Write(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%s, placed by %s: busiest engine %.2f of the mean, %.0f per mille of prompts cached, %.0f per mille of what was read had been before, %.0f per mille sent far, worst tenth of workspaces %.0f per mille in time\n",
-		r.Pattern, r.Policy, r.Imbalance, r.figure("cached"), r.figure("again"), r.figure("far"), r.WorstWorkspace)
+		r.Pattern, r.Policy, r.Imbalance, r.cached(), r.again(), r.far(), r.WorstWorkspace)
 	for _, c := range r.Classes {
 		_, _ = fmt.Fprintf(w, "  %-12s asked %6d  in time %6d  late %5d  lost %5d  p50 %6s  p99 %6s\n",
 			c.Class, c.Asked, c.InAim, c.Late, c.Asked-c.InAim-c.Late, c.P50.Round(time.Millisecond), c.P99.Round(time.Millisecond))
 	}
 }
 
-func (r *Report) figure(name string) float64 {
-	value, err := r.Figure(name, "")
-	if err != nil {
-		return 0
-	}
-	return value
+// cached is the part of all prompts that engines held, in per mille.
+func (r *Report) cached() float64 {
+	return 1000 - 1000*float64(r.Read)/float64(max(r.Prompts, 1))
+}
+
+// again is the part of what was read that an engine had read before, in per mille.
+func (r *Report) again() float64 {
+	return 1000 * float64(r.Again) / float64(max(r.Read, 1))
+}
+
+// far is the part of the requests that were sent to another data centre, in per mille.
+func (r *Report) far() float64 {
+	return perMille(r.Far, r.Sent)
 }
 
 // Sizes of a plot, in pixels.
