Tests build the program, and set worlds up, in one place each; one loop promotes and removes

- newMeteredWorld and newMetered replace five and two copies of the same set-up; assertions as before.
- control: promoteOrRemove and addLearner serve the groups of tickets and of seeds.
- soak: two parameters that nothing read are gone.
- prove: what asks the operators' interface has a file of its own.

--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -16,30 +16,24 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/waxwingreel/waxwingreel/process"
 )
 
 // programs is the folder of the built program.
 var programs string
 
 func TestMain(m *testing.M) {
-	os.Exit(withFleet(m))
+	os.Exit(process.Built("../cmd/waxwingreel", func(binary string) int {
+		programs = filepath.Dir(binary)
+		return withFleet(m, binary)
+	}))
 }
 
-// withFleet builds the program and runs the sample fleet beside the tests.
-func withFleet(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "waxwingreel-command-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	programs = folder
-	if out, err := exec.Command("go", "build", "-o", folder, "../cmd/waxwingreel").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		return 1
-	}
+// withFleet runs the sample fleet beside the tests.
+func withFleet(m *testing.M, binary string) int {
 	example := func(name string) string { return filepath.Join("..", "examples", "fleet", name) }
-	fleet := exec.Command(filepath.Join(folder, "waxwingreel"), "fleet", "--keep", "-s", example("n1.jsonc"), "-s", example("n2.jsonc"), "-s", example("n3.jsonc"), "--ticket", example("ticket.jsonc"))
+	fleet := exec.Command(binary, "fleet", "--keep", "-s", example("n1.jsonc"), "-s", example("n2.jsonc"), "-s", example("n3.jsonc"), "--ticket", example("ticket.jsonc"))
 	fleet.Stderr = os.Stderr
 	out, err := fleet.StdoutPipe()
 	if err != nil {
--- a/control/group.go
+++ b/control/group.go
@@ -103,18 +103,11 @@
 	}
 	members := r.core.Members()
 	wanted := r.wantedNodes()
-	for _, m := range members.Replicas {
-		if !m.Voter && r.core.CaughtUp(m.ID) && slices.Contains(wanted, m.Node) {
-			m.Voter = true
-			r.changeMembers(members.With(m), event.MemberPromoted, m)
-			return
-		}
-	}
-	for _, m := range members.Replicas {
-		if r.obsolete(members, wanted, m) {
-			r.changeMembers(members.Without(m.ID), event.MemberRemoved, m)
-			return
-		}
+	if r.promoteOrRemove(members,
+		func(m consensus.Replica) bool { return slices.Contains(wanted, m.Node) },
+		func(m consensus.Replica) bool { return r.obsolete(members, wanted, m) },
+	) {
+		return
 	}
 	for _, node := range wanted {
 		heard, ok := r.peers[node]
@@ -124,15 +117,38 @@
 		if r.isMember(members, heard.Replica) {
 			continue
 		}
-		learner := consensus.Replica{
-			ID:   heard.Replica,
-			Node: node,
-		}
-		r.changeMembers(members.With(learner), event.MemberAdded, learner)
+		r.addLearner(members, node, heard.Replica)
 		return
 	}
 }
 
+// promoteOrRemove promotes a learner that has caught up and is wanted, or else removes a
+// member that is not. It reports whether there was one.
+func (r *Replica) promoteOrRemove(members consensus.Membership, wanted, obsolete func(consensus.Replica) bool) bool {
+	for _, m := range members.Replicas {
+		if !m.Voter && r.core.CaughtUp(m.ID) && wanted(m) {
+			m.Voter = true
+			r.changeMembers(members.With(m), event.MemberPromoted, m)
+			return true
+		}
+	}
+	for _, m := range members.Replicas {
+		if obsolete(m) {
+			r.changeMembers(members.Without(m.ID), event.MemberRemoved, m)
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) addLearner(members consensus.Membership, node fleet.NodeID, id consensus.ReplicaID) {
+	learner := consensus.Replica{
+		ID:   id,
+		Node: node,
+	}
+	r.changeMembers(members.With(learner), event.MemberAdded, learner)
+}
+
 func (r *Replica) changeMembers(next consensus.Membership, id event.ID, changed consensus.Replica) {
 	if !r.core.ProposeMembership(next) {
 		return
--- a/control/selfforming.go
+++ b/control/selfforming.go
@@ -82,28 +82,17 @@
 func (r *Replica) adjustSelfForming() {
 	members := r.core.Members()
 	now := clock.Boot()
-	for _, m := range members.Replicas {
-		if !m.Voter && r.core.CaughtUp(m.ID) {
-			m.Voter = true
-			r.changeMembers(members.With(m), event.MemberPromoted, m)
-			return
-		}
-	}
-	for _, m := range members.Replicas {
-		if r.expendable(members, m, now) {
-			r.changeMembers(members.Without(m.ID), event.MemberRemoved, m)
-			return
-		}
+	if r.promoteOrRemove(members,
+		func(consensus.Replica) bool { return true },
+		func(m consensus.Replica) bool { return r.expendable(members, m, now) },
+	) {
+		return
 	}
 	for node, heard := range r.peers {
 		if now-r.heardAt[node] > liveWithin || r.isMember(members, heard.Replica) {
 			continue
 		}
-		learner := consensus.Replica{
-			ID:   heard.Replica,
-			Node: node,
-		}
-		r.changeMembers(members.With(learner), event.MemberAdded, learner)
+		r.addLearner(members, node, heard.Replica)
 		return
 	}
 }
--- a/lease/give_test.go
+++ b/lease/give_test.go
@@ -2,25 +2,16 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/ledger"
 )
 
 // TestStoppedNodeGivesBackOnlyItsOwn stops a node that has quota that another lent, while a
 // request runs on quota of its own lease. What was lent is spent for the ledger: given back
 // with the lease it would free the quota of the request under way.
 func TestStoppedNodeGivesBackOnlyItsOwn(t *testing.T) {
-	w := &meteredWorld{
-		state:   ledger.New(),
-		prepaid: 100_000,
-		now:     time.Minute,
-	}
-	w.state.Meter(testBudget, w.prepaid)
-	n := &meteredNode{}
-	w.nodes = append(w.nodes, n)
-	w.start(n, "a", "boot", false)
+	w := newMeteredWorld(100_000, "a")
+	n := w.nodes[0]
 	n.pool.SetNeed(testBudget, 4000, w.now)
 	w.send(n)
 	w.deliver(0, false)
--- a/lease/metered_test.go
+++ b/lease/metered_test.go
@@ -39,6 +39,22 @@
 	change ledger.LeaseChange
 }
 
+// newMeteredWorld returns a world with one budget and the first lives of some nodes.
+func newMeteredWorld(prepaid fleet.Tokens, names ...fleet.NodeID) *meteredWorld {
+	w := &meteredWorld{
+		state:   ledger.New(),
+		prepaid: prepaid,
+		now:     time.Minute,
+	}
+	w.state.Meter(testBudget, w.prepaid)
+	for _, name := range names {
+		n := &meteredNode{}
+		w.nodes = append(w.nodes, n)
+		w.start(n, name, "boot", false)
+	}
+	return w
+}
+
 // start starts a node's next life. Seen says that the leader knows when the life before
 // made its latest change.
 func (w *meteredWorld) start(n *meteredNode, name fleet.NodeID, boot string, seen bool) {
@@ -117,17 +133,7 @@
 func TestMeteredSpendStaysWithinPrepaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []fleet.NodeID{"a", "b", "c"}
-		w := &meteredWorld{
-			state:   ledger.New(),
-			prepaid: 4000,
-			now:     time.Minute,
-		}
-		w.state.Meter(testBudget, w.prepaid)
-		for _, name := range names {
-			n := &meteredNode{}
-			w.nodes = append(w.nodes, n)
-			w.start(n, name, "boot", false)
-		}
+		w := newMeteredWorld(4000, names...)
 		node := func() int { return rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node") }
 		actions := map[string]func(*rapid.T){
 			"begin": func(t *rapid.T) {
@@ -243,15 +249,8 @@
 // TestKilledNodeForfeitsWhatItCanHaveSpent kills a node half a second after its last
 // report: nearly all of its lease comes back.
 func TestKilledNodeForfeitsWhatItCanHaveSpent(t *testing.T) {
-	w := &meteredWorld{
-		state:   ledger.New(),
-		prepaid: 1_000_000,
-		now:     time.Minute,
-	}
-	w.state.Meter(testBudget, w.prepaid)
-	n := &meteredNode{}
-	w.nodes = append(w.nodes, n)
-	w.start(n, "a", "boot", false)
+	w := newMeteredWorld(1_000_000, "a")
+	n := w.nodes[0]
 	for range 20 {
 		w.now += reportInterval
 		if n.pool.Reserve(testBudget, 1000, w.now) {
@@ -281,15 +280,8 @@
 // TestStoppedNodeIsChargedForWhatIsUnderWay stops a node while a request runs that is cut
 // off by the stop: what was set aside for it may be spent, and must not come back.
 func TestStoppedNodeIsChargedForWhatIsUnderWay(t *testing.T) {
-	w := &meteredWorld{
-		state:   ledger.New(),
-		prepaid: 100_000,
-		now:     time.Minute,
-	}
-	w.state.Meter(testBudget, w.prepaid)
-	n := &meteredNode{}
-	w.nodes = append(w.nodes, n)
-	w.start(n, "a", "boot", false)
+	w := newMeteredWorld(100_000, "a")
+	n := w.nodes[0]
 	n.pool.SetNeed(testBudget, 4000, w.now)
 	w.send(n)
 	w.deliver(0, false)
--- a/lease/pattern_test.go
+++ b/lease/pattern_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/ledger"
 )
 
 // crowd is one workspace's traffic, spread over entry nodes at random.
@@ -46,18 +45,13 @@
 
 func newCrowd(nodes int, prepaid fleet.Tokens, rate float64) *crowd {
 	c := &crowd{
-		world: &meteredWorld{
-			state:   ledger.New(),
-			prepaid: prepaid,
-			now:     time.Minute,
-		},
+		world:   newMeteredWorld(prepaid),
 		rng:     rand.New(rand.NewPCG(1, uint64(nodes))),
 		rate:    rate,
 		mean:    10_000,
 		waiting: map[*meteredNode][]ending{},
 	}
 	w := c.world
-	w.state.Meter(testBudget, w.prepaid)
 	for i := range nodes {
 		n := &meteredNode{}
 		w.nodes = append(w.nodes, n)
--- a/ledger/metered_test.go
+++ b/ledger/metered_test.go
@@ -7,22 +7,28 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 )
 
-// TestNeedGoesBeforeWishes has one holder give back what another needs, and ask for it
-// again at once: the one that needs it gets it.
-func TestNeedGoesBeforeWishes(t *testing.T) {
-	s := New()
+// newMetered returns a ledger with a metered budget of 1000 tokens and two holders.
+func newMetered() (s *State, a, b fleet.Holder) {
+	s = New()
 	s.Advance(1_000_000)
 	s.Meter("w", 1000)
-	a := fleet.Holder{
+	a = fleet.Holder{
 		Node:        "a",
 		Incarnation: 1,
 	}
-	b := fleet.Holder{
+	b = fleet.Holder{
 		Node:        "b",
 		Incarnation: 1,
 	}
 	s.Join(a)
 	s.Join(b)
+	return s, a, b
+}
+
+// TestNeedGoesBeforeWishes has one holder give back what another needs, and ask for it
+// again at once: the one that needs it gets it.
+func TestNeedGoesBeforeWishes(t *testing.T) {
+	s, a, b := newMetered()
 	if got, _ := s.ChangeLease(LeaseChange{
 		Holder:       a,
 		Budget:       "w",
@@ -79,19 +85,7 @@
 // again at once, and another need it: the pause between recalls must not make the budget
 // look spent while the holder has plenty.
 func TestHolderThatWasGrantedMoreIsRecalledAgain(t *testing.T) {
-	s := New()
-	s.Advance(1_000_000)
-	s.Meter("w", 1000)
-	a := fleet.Holder{
-		Node:        "a",
-		Incarnation: 1,
-	}
-	b := fleet.Holder{
-		Node:        "b",
-		Incarnation: 1,
-	}
-	s.Join(a)
-	s.Join(b)
+	s, a, b := newMetered()
 	change := func(holder fleet.Holder, seq uint64, give, need fleet.Tokens) LeaseResult {
 		result, _ := s.ChangeLease(LeaseChange{
 			Holder:        holder,
--- a/process/process.go
+++ b/process/process.go
@@ -4,6 +4,7 @@
 package process
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,14 +15,21 @@
 	"github.com/rotisserie/eris"
 )
 
-// Build builds the program of a package into a folder and returns its path. The folder
-// of the package is relative to that of the caller's test.
-func Build(folder, pkg string) (string, error) {
+// Built builds the program of a package, relative to the folder of the caller's tests, runs
+// them with its path, and removes it. It returns the exit code for TestMain.
+func Built(pkg string, run func(binary string) int) int {
+	folder, err := os.MkdirTemp("", "waxwingreel-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
 	binary := filepath.Join(folder, filepath.Base(pkg))
 	if out, err := exec.Command("go", "build", "-o", binary, pkg).CombinedOutput(); err != nil {
-		return "", eris.Wrapf(err, "process: build %s: %s", pkg, out)
+		fmt.Fprintf(os.Stderr, "process: build %s: %v\n%s", pkg, err, out)
+		return 1
 	}
-	return binary, nil
+	return run(binary)
 }
 
 // Config sets up a Process.
--- /dev/null
+++ b/prove/operate_test.go
@@ -0,0 +1,150 @@
+package prove
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/operator"
+)
+
+// mustApply applies changes under the next ticket number, through any node.
+func (f *testFleet) mustApply(changes []catalog.Change) operator.TicketAnswer {
+	f.ticket++
+	ticket := catalog.Ticket{
+		Number:  f.ticket,
+		Changes: changes,
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		for _, p := range f.nodes {
+			if !p.Running() {
+				continue
+			}
+			answer := operator.TicketAnswer{}
+			status, err := f.put(p, ticket, &answer)
+			if err == nil && status == http.StatusOK {
+				return answer
+			}
+			if err == nil && status == http.StatusUnprocessableEntity {
+				f.t.Fatalf("ticket %d: %v", ticket.Number, answer.Outcome.Problems)
+			}
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("ticket %d was not taken in time", ticket.Number)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) put(p *nodeProcess, ticket catalog.Ticket, answer *operator.TicketAnswer) (int, error) {
+	text, err := json.Marshal(ticket)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.admin(p, http.MethodPut, fmt.Sprintf("/v1/tickets/%d?waitMillis=4000", ticket.Number), text, answer)
+}
+
+// admin asks a node's operators' interface.
+func (f *testFleet) admin(p *nodeProcess, method, path string, body []byte, answer any) (int, error) {
+	request, err := http.NewRequest(method, "http://"+p.settings.Listen.Operators.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	client := http.Client{Timeout: 15 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, json.Unmarshal(text, answer)
+}
+
+func (f *testFleet) ready(p *nodeProcess) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + p.settings.Listen.Operators.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all started nodes are ready and the group is whole.
+func (f *testFleet) awaitReady(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for _, p := range f.nodes {
+		for p.Running() && !p.gone && !f.ready(p) {
+			if time.Now().After(deadline) {
+				f.t.Fatalf("node %s is not ready after %s", p.name, limit)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	for !f.whole() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("the control group is not whole after %s: %+v", limit, f.status())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// whole reports whether every control node has a voter, and no other member is
+// left.
+func (f *testFleet) whole() bool {
+	for _, r := range f.status().Replicas {
+		if r.HasLease {
+			members := r.Consensus.Members
+			return members.Voters() == f.shape.control && len(members.Replicas) == f.shape.control
+		}
+	}
+	return false
+}
+
+func (f *testFleet) status() operator.Status {
+	for _, p := range f.nodes {
+		status := operator.Status{}
+		if !p.Running() {
+			continue
+		}
+		if code, err := f.admin(p, http.MethodGet, "/v1/status", nil, &status); err == nil && code == http.StatusOK && len(status.Replicas) > 0 {
+			return status
+		}
+	}
+	return operator.Status{}
+}
+
+func (f *testFleet) budget(id fleet.BudgetID) operator.BudgetAnswer {
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, p := range f.nodes {
+			answer := operator.BudgetAnswer{}
+			if !p.Running() {
+				continue
+			}
+			if code, err := f.admin(p, http.MethodGet, "/v1/budgets/"+string(id), nil, &answer); err == nil && code == http.StatusOK {
+				return answer
+			}
+		}
+	}
+	f.t.Fatalf("no node told of budget %s", id)
+	return operator.BudgetAnswer{}
+}
+
+func (f *testFleet) seeds() []string {
+	var seeds []string
+	for _, p := range f.nodes {
+		seeds = append(seeds, p.settings.Advertise.Callers.String())
+	}
+	return seeds
+}
--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -115,7 +115,7 @@
 }
 
 // misdirected takes note of a request for another instance, which costs a retry.
-func (a *audit) misdirected(_ *instance, id string) {
+func (a *audit) misdirected(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r, ok := a.requests[id]; ok {
--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -28,7 +28,7 @@
 	to   time.Time
 }
 
-func newCalm(*world) *calm {
+func newCalm() *calm {
 	return &calm{faults: map[string][]interval{}}
 }
 
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -159,7 +159,7 @@
 		return err == nil
 	}
 	if r.Header.Get("Expected-Instance") != in.id {
-		in.w.audit.misdirected(in, id)
+		in.w.audit.misdirected(id)
 		return send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	}
 	mode := in.behave.Load()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -61,24 +60,10 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	os.Exit(build(m))
-}
-
-// build builds the program once for all runs.
-func build(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "waxwingreel-soak-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binary, err = process.Build(folder, "../cmd/waxwingreel")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(process.Built("../cmd/waxwingreel", func(built string) int {
+		binary = built
+		return m.Run()
+	}))
 }
 
 // vm is one VM: a process behind relays, and a data folder where it carries a control
@@ -143,7 +128,7 @@
 		ended:     make(chan struct{}),
 	}
 	w.audit = newAudit(w)
-	w.calm = newCalm(w)
+	w.calm = newCalm()
 	w.operator = newOperator(w)
 	w.serveList(w.claimSlot())
 	for i := range s.control + s.entries {
