wire: dial again when a call finds its connection ended

Change: open tries up to three connections while the error says that the connection, not the stream, has ended. Nothing but the stream's header was sent by then, on which the peer does not act.

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -99,12 +100,38 @@
 	}
 }
 
-// open opens a stream to a peer and sends its header.
+// open opens a stream to a peer and sends its header. The peer acts only on what follows the
+// header, so if a connection turns out to have ended, open dials another one.
+//
+// The state of a connection does not tell that in advance: quic-go ends the streams of a
+// connection before its context, and a peer may end one at any time.
 func (e *Endpoint) open(ctx context.Context, address netip.AddrPort, method Method) (*countedStream, error) {
-	conn, err := e.connect(ctx, e.peer(address))
-	if err != nil {
-		return nil, err
+	p := e.peer(address)
+	for attempt := 1; ; attempt++ {
+		conn, err := e.connect(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		stream, err := e.openOn(ctx, conn, address, method)
+		if err == nil || attempt == maxOpenAttempts || !connectionEnded(err) || ctx.Err() != nil {
+			return stream, err
+		}
+		connectionsLost.Add(1)
+		p.closeConn(conn)
 	}
+}
+
+// maxOpenAttempts is the number of connections that open tries.
+const maxOpenAttempts = 3
+
+// connectionEnded reports whether an error of a stream means that its connection has ended.
+func connectionEnded(err error) bool {
+	idle, application := (*quic.IdleTimeoutError)(nil), (*quic.ApplicationError)(nil)
+	transport, reset := (*quic.TransportError)(nil), (*quic.StatelessResetError)(nil)
+	return errors.As(err, &idle) || errors.As(err, &application) || errors.As(err, &transport) || errors.As(err, &reset)
+}
+
+func (e *Endpoint) openOn(ctx context.Context, conn *quic.Conn, address netip.AddrPort, method Method) (*countedStream, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, eris.Wrapf(err, "wire: open a stream to %s", address)
@@ -119,7 +146,7 @@
 	}
 	if _, err := writeFrame(counted, h); err != nil {
 		stream.CancelWrite(0)
-		return nil, eris.Wrapf(err, "wire: %s to %s", method, address)
+		return nil, eris.Wrapf(err, "wire: open a stream to %s: send the header of %s", address, method)
 	}
 	return counted, nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,3 +166,45 @@
 		_ = Decode(body, &callResponse{})
 	})
 }
+
+// TestCallRedialsEndedConnection ends the connection again and again while calls are made. A call
+// that takes a connection just before it ends has sent nothing yet, so it must dial another one
+// instead of failing. Only calls that were sent already may fail.
+func TestCallRedialsEndedConnection(t *testing.T) {
+	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
+	if _, err := call(client, server.Address(), "first", 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	p := client.peer(server.Address())
+	stop := make(chan struct{})
+	ender := sync.WaitGroup{}
+	ender.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			p.mu.Lock()
+			if p.conn != nil {
+				_ = p.conn.CloseWithError(0, "")
+			}
+			p.mu.Unlock()
+		}
+	})
+	callers := sync.WaitGroup{}
+	for range 8 {
+		callers.Go(func() {
+			for range 200 {
+				_, err := call(client, server.Address(), "hello", 5*time.Second)
+				if err != nil && strings.Contains(err.Error(), "open a stream") {
+					t.Errorf("got error %v from a call that was not sent, want it to dial again", err)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	ender.Wait()
+}
