A planned stop is ended early by a second SIGINT only

Cause: after the first signal of a stop any further one cancelled the stop, SIGHUP included, and requests in flight were cut off. All kinds of signals shared a queue of two, so that two SIGHUPs during the start displaced a SIGTERM. SIGPIPE was not handled: a closed log pipe ended the process.

Change: command/signals.go keeps one channel a kind. During a stop SIGHUP and SIGTERM are logged (event 108) and change nothing; two SIGINTs in all end it. SIGPIPE is ignored.

Shown: TestSignalSeries, 19 scripted series on real processes, fails on the old code for every series with a signal after the stop began and passes now; TestClosedLogReader fails without the ignored SIGPIPE.

--- a/command/serve.go
+++ b/command/serve.go
@@ -1,15 +1,11 @@
 package command
 
 import (
-	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,10 +26,7 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
-	// Registered before the node starts: an unhandled signal during the start would
-	// kill the process.
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	signals := notifySignals()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -49,17 +42,14 @@
 		log.Error(event.NodeFailed).Err(err).Msg("node failed to start")
 		return err
 	}
-	if failed := awaitStop(signals, n.Failed(), func() { reload(c.Settings, log, n) }); failed {
+	interrupts, failed := signals.awaitStop(n.Failed(), func() { reload(c.Settings, log, n) })
+	if failed {
 		time.Sleep(diskFailureDelay)
 		log.Error(event.NodeFailed).Msg("disk failed; the node exits so that it is restarted")
 		return eris.New("the node's disk failed")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := signals.whileStopping(log, interrupts)
 	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
 	n.Stop(ctx)
 	return nil
 }
@@ -68,22 +58,6 @@
 // restarted. In that time space may be freed on a full disk, or a slow disk recover.
 const diskFailureDelay = time.Second
 
-// awaitStop waits for a signal to stop or a failure of the node, and reports whether the
-// node failed. It calls reload on SIGHUP.
-func awaitStop(signals <-chan os.Signal, failed <-chan struct{}, reload func()) bool {
-	for {
-		select {
-		case <-failed:
-			return true
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return false
-			}
-			reload()
-		}
-	}
-}
-
 // reload reads the settings again. The node applies those that can change while it
 // runs; the others take effect at the next start.
 func reload(path string, log *event.Log, n *node.Node) {
--- a/event/event.go
+++ b/event/event.go
@@ -21,13 +21,14 @@
 // an invalid message from it, and QuotaLost unused quota that could not be returned and
 // counts as spent.
 const (
-	NodeStarted  ID = 101
-	NodeStopping ID = 102
-	NodeStopped  ID = 103
-	NodeCut      ID = 104
-	NodeFailed   ID = 105
-	NodeReloaded ID = 106
-	ServerNotice ID = 107
+	NodeStarted   ID = 101
+	NodeStopping  ID = 102
+	NodeStopped   ID = 103
+	NodeCut       ID = 104
+	NodeFailed    ID = 105
+	NodeReloaded  ID = 106
+	ServerNotice  ID = 107
+	SignalIgnored ID = 108
 
 	ReplicaOpened     ID = 201
 	ReplicaFailed     ID = 202
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -149,6 +149,12 @@
 	}
 }
 
+// holdTime returns the time that a request asks the instance to work on it.
+func holdTime(r *http.Request) time.Duration {
+	ms, _ := strconv.Atoi(r.URL.Query().Get("holdMillis"))
+	return time.Duration(ms) * time.Millisecond
+}
+
 // signature returns the signature that an instance puts on the response to a request.
 func signature(instance, id string) string { return instance + "." + id }
 
@@ -195,7 +201,7 @@
 		send("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text[:len(text)/2])
 		return false
 	}
-	time.Sleep(plainServiceTime)
+	time.Sleep(max(plainServiceTime, holdTime(r)))
 	return send("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text)
 }
 
