--- a/consensus/core.go
+++ b/consensus/core.go
@@ -103,18 +103,21 @@
 	now  time.Duration
 	role Role
 
-	hardState             HardState
-	hardStateDirty        bool
-	log                   entryLog
-	members               Membership
-	membersIndex          Index
-	persisted             Index
-	commit                Index
-	applied               Index
-	firstUnsaved          Index // first entry that Output has not returned yet
-	installedSnapshot     *Snapshot
-	leader                ReplicaID
-	lastLeaderContact     time.Duration
+	hardState         HardState
+	hardStateDirty    bool
+	log               entryLog
+	members           Membership
+	membersIndex      Index
+	persisted         Index
+	commit            Index
+	applied           Index
+	firstUnsaved      Index // first entry that Output has not returned yet
+	installedSnapshot *Snapshot
+	leader            ReplicaID
+	lastLeaderContact time.Duration
+	// lastFresh is when the last message arrived from a leader that held its lease,
+	// leaderCommit the highest commit index that a leader has sent.
+	lastFresh             time.Duration
 	leaderCommit          Index
 	electionDeadline      time.Duration
 	nextHeartbeat         time.Duration
@@ -236,15 +239,15 @@
 	return contacts[len(contacts)/2]
 }
 
-// UpToDate reports whether the replica has received a message from its leader within
-// the given time and has applied all that the leader had committed. A replica that is
+// UpToDate reports whether the replica has received a message from a leader that held its
+// lease within the given time and has applied all that the leader had committed. A replica that is
 // not up to date may be partitioned from its leader. A leader is up to date while it
 // holds its lease.
 func (c *Core) UpToDate(now, within time.Duration) bool {
 	if c.role == RoleLeader {
 		return c.HoldsLease(now)
 	}
-	return c.leader != 0 && now-c.lastLeaderContact <= within && c.applied >= c.leaderCommit
+	return c.leader != 0 && now-c.lastFresh <= within && c.applied >= c.leaderCommit
 }
 
 // Output returns the pending work and clears it.
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -138,7 +138,12 @@
 	Index   Index   `json:"index,omitempty"`
 	LogTerm Term    `json:"logTerm,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
-	Commit  Index   `json:"commit,omitempty"`
+	// Commit is the leader's commit index. All messages of a leader to its followers
+	// contain it.
+	Commit Index `json:"commit,omitempty"`
+	// Isolated is set if the leader did not hold its lease when it sent the message, so
+	// that a later leader may have committed more than it knows.
+	Isolated bool `json:"isolated,omitempty"`
 	// Round numbers the leader's messages. A response repeats it, so that the
 	// leader can look up when it sent the original message.
 	Round  uint64 `json:"round,omitempty"`
@@ -154,3 +159,17 @@
 	Total      int         `json:"total,omitempty"`
 	Membership *Membership `json:"membership,omitempty"`
 }
+
+// valid reports whether the fields of a message agree with each other. A peer of another
+// version or with damaged memory may send others, which must not end the process.
+func (m Message) valid() bool {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+Index(i) || e.Kind == EntryMembership && e.Membership == nil {
+			return false
+		}
+	}
+	if m.Kind != MessageSnapshot {
+		return true
+	}
+	return m.Membership != nil && m.Offset >= 0 && m.Offset <= m.Total && len(m.Chunk) <= m.Total-m.Offset
+}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -152,13 +152,14 @@
 func (c *Core) sendEntries(id ReplicaID, p *progress, entries []Entry) {
 	previous := p.next - 1
 	c.sendBeforeSync(Message{
-		Kind:    MessageAppend,
-		To:      id,
-		Index:   previous,
-		LogTerm: c.log.term(previous),
-		Entries: entries,
-		Commit:  c.commit,
-		Round:   c.nextRound(),
+		Kind:     MessageAppend,
+		To:       id,
+		Index:    previous,
+		LogTerm:  c.log.term(previous),
+		Entries:  entries,
+		Commit:   c.commit,
+		Isolated: !c.HoldsLease(c.now),
+		Round:    c.nextRound(),
 	})
 	p.next += Index(len(entries))
 }
@@ -192,10 +193,12 @@
 			return
 		}
 		c.sendBeforeSync(Message{
-			Kind:  MessageAppend,
-			To:    id,
-			Index: 0,
-			Round: c.nextRound(),
+			Kind:     MessageAppend,
+			To:       id,
+			Index:    0,
+			Commit:   c.commit,
+			Isolated: !c.HoldsLease(c.now),
+			Round:    c.nextRound(),
 		})
 		return
 	}
@@ -305,7 +308,6 @@
 
 func (c *Core) onAppend(m Message) {
 	c.recordLeaderContact(m)
-	c.leaderCommit = max(c.leaderCommit, m.Commit)
 	if m.Index < c.commit {
 		m = c.skipCommitted(m)
 	}
@@ -375,13 +377,17 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.lastLeaderContact = c.now
+	c.leaderCommit = max(c.leaderCommit, m.Commit)
+	if !m.Isolated {
+		c.lastFresh = c.now
+	}
 	c.resetElectionDeadline()
 }
 
 // Step processes a message from another replica.
 func (c *Core) Step(m Message, now time.Duration) {
 	c.now = max(c.now, now)
-	if m.To != c.cfg.ID || m.Group != c.cfg.Group {
+	if m.To != c.cfg.ID || m.Group != c.cfg.Group || !m.valid() {
 		return
 	}
 	switch m.Kind {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -29,6 +29,8 @@
 		Chunk:      snapshot.Data[p.offset:end],
 		Offset:     p.offset,
 		Total:      len(snapshot.Data),
+		Commit:     c.commit,
+		Isolated:   !c.HoldsLease(c.now),
 		Round:      c.nextRound(),
 	})
 }
