A stale control replica serves no subscriber that can do better

Cause: a replica judged its own freshness only, and a subscriber waited 0.7 s for a replica that was stale from the start, each time that it met one.

Change: a replica is stale for a subscriber that has a later configuration; a subscriber leaves a replica that was never fresh at once until it has tried each of the others.

--- a/control/serve.go
+++ b/control/serve.go
@@ -241,7 +241,7 @@
 func (r *Replica) update(s *subscriber) Update {
 	now := clock.SinceBoot()
 	update := Update{
-		Stale:        r.failed != nil || !r.core.UpToDate(now, leaderTimeout),
+		Stale:        r.staleFor(s, now),
 		Leader:       r.leaderAddress(),
 		EndedHolders: r.machine.ledger.UnconfirmedBy(s.holder.Node),
 		Ended:        r.holderEnded(s.holder),
@@ -263,6 +263,13 @@
 	return update
 }
 
+// staleFor reports whether this replica's configuration may be outdated. It certainly is if
+// another replica has sent the subscriber a later one.
+func (r *Replica) staleFor(s *subscriber, now time.Duration) bool {
+	behind := s.catalogVersion > r.machine.catalog.Version() || s.routingVersion > r.machine.routing.Config.Version
+	return behind || r.failed != nil || !r.core.UpToDate(now, leaderTimeout)
+}
+
 // instancesSince returns the latest instance list and its number if it is newer than the
 // list with the given number.
 func (r *Replica) instancesSince(number uint64, now time.Duration) (*InstanceList, uint64) {
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -18,16 +18,31 @@
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
+// errStale is the error of a subscription to a replica that is not up to date with a leader.
+var errStale = eris.New("controlclient: the control replica is stale: it is not up to date with a leader")
+
 // runSubscriptions keeps the node subscribed to a control replica. When a subscription
-// ends, it subscribes again and starts with the next replica of the list.
+// ends, it subscribes again and starts with the next replica of the list. It leaves a replica
+// that is stale from the start at once as long as there are others that it has not tried.
 func (c *Client) runSubscriptions() {
+	staleInRow := 0
 	for i := 0; c.ctx.Err() == nil; i++ {
 		replicas := c.Replicas()
 		first := i % len(replicas)
-		address, err := c.subscribe(append(slices.Clone(replicas[first:]), replicas[:first]...))
+		patience := time.Duration(0)
+		if staleInRow >= len(replicas)-1 {
+			patience = staleSwitchDelay
+		}
+		address, wasFresh, err := c.subscribe(append(slices.Clone(replicas[first:]), replicas[:first]...), patience)
 		if c.ctx.Err() == nil {
 			c.cfg.Log.Warn(event.ControlLost).Str("replica", address.String()).Err(err).Msg("subscription ended")
 		}
+		switch {
+		case wasFresh:
+			staleInRow = 0
+		case eris.Is(err, errStale):
+			staleInRow++
+		}
 		c.controlReachable.Store(false)
 		select {
 		case <-c.ctx.Done():
@@ -89,13 +104,14 @@
 }
 
 // subscribe subscribes to the replica that responds first. When the subscription ends, it
-// returns the replica's address and the error.
-func (c *Client) subscribe(replicas []netip.AddrPort) (netip.AddrPort, error) {
+// returns the replica's address, whether the replica was ever fresh, and the error. A replica that
+// is stale from the start is left after patience.
+func (c *Client) subscribe(replicas []netip.AddrPort, patience time.Duration) (address netip.AddrPort, wasFresh bool, err error) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	opened := c.openChannel(ctx, replicas)
 	if opened.err != nil {
-		return opened.address, opened.err
+		return opened.address, false, opened.err
 	}
 	defer opened.ch.Close()
 	heartbeats := sync.WaitGroup{}
@@ -105,7 +121,8 @@
 	})
 	defer heartbeats.Wait()
 	defer cancel()
-	return opened.address, c.receiveUpdates(opened.address, opened.ch)
+	wasFresh, err = c.receiveUpdates(opened.address, opened.ch, patience)
+	return opened.address, wasFresh, err
 }
 
 // sendHeartbeats sends a heartbeat every roster.HeartbeatInterval, and at once when
@@ -133,9 +150,10 @@
 	}
 }
 
-// receiveUpdates processes updates until none has arrived for updateTimeout, or the replica has
-// been stale for staleSwitchDelay while there are other replicas to try.
-func (c *Client) receiveUpdates(address netip.AddrPort, ch *wire.Channel) error {
+// receiveUpdates processes updates until none has arrived for updateTimeout, or the replica is
+// stale while there are other replicas to try: for longer than patience if it was never fresh,
+// otherwise for longer than staleSwitchDelay. It reports whether the replica was ever fresh.
+func (c *Client) receiveUpdates(address netip.AddrPort, ch *wire.Channel, patience time.Duration) (wasFresh bool, err error) {
 	known := map[fleet.NodeID]roster.Report{}
 	staleSince := time.Time{}
 	for {
@@ -144,11 +162,13 @@
 		err := ch.Receive(&update)
 		watchdog.Stop()
 		if err != nil {
-			return err
+			return wasFresh, err
 		}
 		switch {
 		case !update.Stale:
 			staleSince = time.Time{}
+			wasFresh = true
+			patience = staleSwitchDelay
 		case staleSince.IsZero():
 			staleSince = time.Now()
 		}
@@ -159,8 +179,8 @@
 		if time.Since(staleSince) > staleGracePeriod {
 			c.controlReachable.Store(false)
 		}
-		if time.Since(staleSince) > staleSwitchDelay && len(c.Replicas()) > 1 {
-			return eris.Errorf("controlclient: control replica %s is stale: it is not up to date with a leader", address)
+		if time.Since(staleSince) >= patience && len(c.Replicas()) > 1 {
+			return wasFresh, eris.Wrapf(errStale, "replica %s", address)
 		}
 	}
 }
--- /dev/null
+++ b/controlclient/subscribe_test.go
@@ -0,0 +1,77 @@
+package controlclient
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+const testSecret = "a secret for tests only"
+
+func newEndpoint(t *testing.T, node fleet.NodeID) *wire.Endpoint {
+	t.Helper()
+	e, err := wire.New(wire.Config{
+		Node:   node,
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Secret: testSecret,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// serveReplica serves subscriptions as a replica that always sends the given update.
+func serveReplica(t *testing.T, node fleet.NodeID, delay time.Duration, update control.Update) netip.AddrPort {
+	t.Helper()
+	e := newEndpoint(t, node)
+	e.HandleChannel(control.MethodSubscribe, func(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
+		time.Sleep(delay)
+		for ctx.Err() == nil && ch.Send(update) == nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	e.Start()
+	return e.Address()
+}
+
+// TestStaleReplicaIsLeftAtOnce subscribes while the first replicas in the list are stale, as they
+// are when they have just come back. The node must follow the fresh one without waiting for the
+// time that a replica known to be fresh gets to catch up.
+func TestStaleReplicaIsLeftAtOnce(t *testing.T) {
+	stale := control.Update{Stale: true}
+	fresh := control.Update{Routing: &routing.Config{Version: 7}}
+	replicas := []netip.AddrPort{
+		serveReplica(t, "stale-1", 0, stale),
+		serveReplica(t, "stale-2", 0, stale),
+		serveReplica(t, "fresh", 0, fresh),
+	}
+	started := time.Now()
+	c := New(Config{
+		Holder:   fleet.Holder{Node: "entry"},
+		Endpoint: newEndpoint(t, "entry"),
+		Replicas: replicas,
+		Report:   func() roster.Report { return roster.Report{} },
+		Log:      event.New(io.Discard, "entry"),
+	})
+	defer c.Close()
+	for !c.ControlReachable() && time.Since(started) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(started); !c.ControlReachable() || took >= staleSwitchDelay {
+		t.Errorf("got the fresh replica after %s, want it before %s", took, staleSwitchDelay)
+	}
+	if got, want := c.routingVersion(), routing.Version(7); got != want {
+		t.Errorf("got configuration %d, want %d", got, want)
+	}
+}
