Instances that say that they leave, or for how long they are full, get no requests

Cause: Server-Leaving, and Retry-After on a 503, were not read. A leaving instance got requests until the list said so; a full one was tried again after 250 ms, and as a last resort at once.

Change: placement keeps what a run of an instance says of itself apart from the list, so that a late list, a list that lacks it for a moment and a reload change nothing; another run is told by its start, its address or its absence. A full instance is not chosen at all until its time is over and counts as full, not as failing. When all say so, callers are refused at once with the earliest time. A request whose connection took long to open asks once more before it is sent.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -130,6 +130,10 @@
 	AtMostOnce bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, header http.Header) bool
+	// Revoked reports whether the request must no longer be sent to the instance. It is called
+	// after a connection was opened, which can take as long as an instance needs to leave. It
+	// may be nil.
+	Revoked func() bool
 }
 
 // Incoming is a response whose body has not been read.
@@ -179,7 +183,7 @@
 	for {
 		conn := c.pop(out.Instance)
 		if conn == nil {
-			return c.dial(ctx, out.Instance)
+			return c.dial(ctx, out)
 		}
 		limit := conn.maxIdle
 		if out.AtMostOnce {
@@ -207,7 +211,7 @@
 	return conn
 }
 
-func (c *ConnPool) dial(ctx context.Context, instance Instance) (*Conn, error) {
+func (c *ConnPool) dial(ctx context.Context, out Outgoing) (*Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -218,19 +222,23 @@
 		},
 		Control: TCPUserTimeout(tcpUserTimeout),
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", instance.Address.String())
+	raw, err := dialer.DialContext(ctx, "tcp", out.Instance.Address.String())
 	if err != nil {
-		return nil, eris.Wrapf(err, "backend: connect to %s at %s", instance.ID, instance.Address)
+		return nil, eris.Wrapf(err, "backend: connect to %s at %s", out.Instance.ID, out.Instance.Address)
 	}
 	connsOpened.Add(1)
+	if out.Revoked != nil && out.Revoked() {
+		_ = raw.Close()
+		return nil, eris.Errorf("backend: connect to %s at %s: the instance has said meanwhile that it takes no requests", out.Instance.ID, out.Instance.Address)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return &Conn{
-		instance:    instance,
+		instance:    out.Instance,
 		conn:        raw,
 		reader:      bufio.NewReaderSize(raw, readBufferBytes),
 		maxIdle:     defaultMaxIdle,
-		retirements: c.retirements[instance],
+		retirements: c.retirements[out.Instance],
 	}, nil
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -68,7 +68,9 @@
 	AttemptFailed  ID = 408
 	LinesDropped   ID = 409
 
-	StreamResumed ID = 503
+	StreamResumed   ID = 503
+	InstanceLeaving ID = 504
+	InstanceFull    ID = 505
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,7 +80,9 @@
 	stopTimer := x.startReplaceTimer(placed, cancel)
 	defer stopTimer()
 	x.lastInstance = placed.Instance.ID
-	in, err := x.s.conns.Do(ctx, x.outgoingRequest(placed.Instance))
+	out := x.outgoingRequest(placed.Instance)
+	out.Revoked = func() bool { return !x.s.dispatch.stillAvailable(x.service.ID, placed) }
+	in, err := x.s.conns.Do(ctx, out)
 	if err != nil {
 		sendErr := (*backend.SendError)(nil)
 		sent := !errors.As(err, &sendErr) || sendErr.Sent
@@ -93,6 +95,7 @@
 	}
 	x.attempts++
 	response := x.s.cfg.Protocol.ReadResponse(in.Status, in.Header)
+	x.s.dispatch.responseRead(x.service.ID, placed, response)
 	if response.NotRun || response.OtherInstance {
 		in.Finish(false)
 		return x.endRefusedAttempt(placed, response)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -69,7 +69,8 @@
 // setInstances applies a newly read instance list.
 func (d *dispatcher) setInstances(list control.InstanceList) {
 	d.Do(func() {
-		d.listedAt = clock.SinceBoot() - time.Duration(list.AgeMillis)*time.Millisecond
+		now := clock.SinceBoot()
+		d.listedAt = now - time.Duration(list.AgeMillis)*time.Millisecond
 		byService := map[fleet.ServiceID][]routing.Instance{}
 		current := map[backend.Instance]int{}
 		next := map[fleet.BackendServerID]routing.Instance{}
@@ -86,7 +87,7 @@
 			}
 		}
 		for service, instances := range byService {
-			d.forecast(service).SetInstances(instances)
+			d.forecast(service).SetInstances(instances, now)
 		}
 		d.cfg.conns.SetIdleLimits(current)
 	})
@@ -241,3 +242,45 @@
 	}
 	d.Do(func() { d.forecast(service).Finish(p, outcome, clock.SinceBoot()) })
 }
+
+// responseRead applies what the header of a response says of its instance: that it leaves, or
+// that it takes no requests for some time.
+func (d *dispatcher) responseRead(service fleet.ServiceID, p *placement.Assignment, r Response) {
+	if !r.Leaving && r.RetryAfter == 0 {
+		return
+	}
+	if r.Leaving {
+		d.cfg.conns.Retire(backendInstance(p.Instance))
+	}
+	d.Do(func() {
+		f := d.forecast(service)
+		if r.Leaving && f.MarkLeaving(p.Instance.ID) {
+			d.cfg.log.Info(event.InstanceLeaving).
+				Str("instance", string(p.Instance.ID)).
+				Str("service", string(service)).
+				Msg("instance says that it leaves; it gets no new requests")
+		}
+		if r.RetryAfter > 0 && f.MarkFull(p.Instance.ID, r.RetryAfter, clock.SinceBoot()) {
+			d.cfg.log.Info(event.InstanceFull).
+				Str("instance", string(p.Instance.ID)).
+				Str("service", string(service)).
+				Int64("retryAfterMillis", r.RetryAfter.Milliseconds()).
+				Msg("instance says that it is full; it gets no new requests for that time")
+		}
+	})
+}
+
+// fullFor returns the time until the first instance of a service takes requests again, 0 unless
+// all have said that they are full.
+func (d *dispatcher) fullFor(service fleet.ServiceID) time.Duration {
+	wait := time.Duration(0)
+	d.DoAndWait(func() { wait = d.forecast(service).FullFor(clock.SinceBoot()) })
+	return wait
+}
+
+// stillAvailable reports whether an instance that was chosen before may still be sent a request.
+func (d *dispatcher) stillAvailable(service fleet.ServiceID, p *placement.Assignment) bool {
+	available := false
+	d.DoAndWait(func() { available = d.forecast(service).Available(p.Instance.ID, clock.SinceBoot()) })
+	return available
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -71,6 +71,9 @@
 	// failedResponse is the latest 5xx response of an instance. It is delivered if no
 	// later attempt succeeds.
 	failedResponse *bufferedResponse
+	// instancesFullFor is the time until the first instance takes requests again, 0 unless all
+	// have said that they are full.
+	instancesFullFor time.Duration
 	// lastInstance, status and cause are logged when the request ends.
 	lastInstance fleet.BackendServerID
 	status       int
@@ -249,7 +252,7 @@
 			Avoid:  x.avoidInstances,
 		})
 		if !ok {
-			x.fail(CauseNoInstance)
+			x.failWithoutInstance()
 			return
 		}
 		x.logPlaced(placed, listAge)
@@ -270,6 +273,17 @@
 	}
 }
 
+// failWithoutInstance ends a request for which there is no instance. If all of them have said for
+// how long they are full, the caller is told the earliest of these times.
+func (x *exchange) failWithoutInstance() {
+	x.instancesFullFor = x.s.dispatch.fullFor(x.service.ID)
+	if x.instancesFullFor > 0 {
+		x.fail(CauseInstanceBusy)
+		return
+	}
+	x.fail(CauseNoInstance)
+}
+
 // mayTryAgain reports whether another attempt may follow, and takes it from the retry
 // budget if one is needed. A request that may have run is repeated only if its route
 // allows it.
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -51,13 +51,16 @@
 	requests int
 	// lastEventIDs has the Last-Event-Id header of each request.
 	lastEventIDs []string
-	list         []routing.Instance
+	// byInstance has the number of requests at each instance.
+	byInstance map[string]int
+	list       []routing.Instance
 }
 
 func newInstances(t *testing.T, script string) *scriptedInstances {
 	in := &scriptedInstances{
-		t:      t,
-		script: strings.Fields(script),
+		t:          t,
+		script:     strings.Fields(script),
+		byInstance: map[string]int{},
 	}
 	for i := range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -95,6 +98,7 @@
 		action = in.script[in.requests]
 	}
 	in.requests++
+	in.byInstance[r.Header.Get("Expected-Instance")]++
 	return action
 }
 
@@ -123,6 +127,10 @@
 		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
 	case "refuse":
 		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case "full":
+		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n")
+	case "leaving":
+		send("HTTP/1.1 200 OK\r\n" + id + "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\ndone")
 	case "other":
 		send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	case "fail":
@@ -176,6 +184,12 @@
 
 // newServer returns a server with one route to the instances.
 func newServer(t *testing.T, route routing.Route, in *scriptedInstances) *httptest.Server {
+	server, _ := newGateway(t, route, in)
+	return server
+}
+
+// newGateway is like newServer and returns the gateway too.
+func newGateway(t *testing.T, route routing.Route, in *scriptedInstances) (*httptest.Server, *gateway.Server) {
 	s := gateway.New(gateway.Config{
 		Node:        "n1",
 		Control:     unreachableControl{},
@@ -199,7 +213,7 @@
 		cancel()
 		_ = s.Close(ctx)
 	})
-	return server
+	return server, s
 }
 
 // TestExchange runs the cases in testdata/exchange.txt: "name | kind of route, with + if
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -111,6 +111,10 @@
 	if cause == CauseNoQuota && x.shortage != nil && x.shortage.LedgerUnreachable {
 		after = retryAfterPartitioned(x.deadline - clock.SinceBoot())
 	}
+	if x.instancesFullFor > 0 {
+		// Callers that return together would only be refused together.
+		after = x.instancesFullFor + time.Duration(rand.Float64()*retryJitter*float64(retryDelayBusy))
+	}
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	x.reject(http.StatusServiceUnavailable, cause)
 }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -50,6 +50,11 @@
 	OtherInstance bool
 	// Signed is set if the response carries the instance's signature.
 	Signed bool
+	// Leaving is set if the instance says that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which the instance takes no requests from this node, 0 if it
+	// did not refuse the request or named no time.
+	RetryAfter time.Duration
 	// Load is the instance's load, nil if not reported.
 	Load *Load
 }
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -106,6 +106,8 @@
 	instances   map[fleet.BackendServerID]*instanceState
 	instanceIDs []fleet.BackendServerID
 	demands     map[routing.PartID]demand
+	// exclusions has what instances have said of themselves, by id.
+	exclusions map[fleet.BackendServerID]*exclusion
 	// backlogs is scratch space of congestion.
 	backlogs []float64
 }
@@ -156,15 +158,16 @@
 // NewForecast returns a forecast without instances.
 func NewForecast(cfg ForecastConfig) *Forecast {
 	return &Forecast{
-		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, 2)),
-		instances: map[fleet.BackendServerID]*instanceState{},
-		demands:   map[routing.PartID]demand{},
+		cfg:        cfg,
+		rng:        rand.New(rand.NewPCG(cfg.Seed, 2)),
+		instances:  map[fleet.BackendServerID]*instanceState{},
+		demands:    map[routing.PartID]demand{},
+		exclusions: map[fleet.BackendServerID]*exclusion{},
 	}
 }
 
 // SetInstances replaces the list of instances. The state of instances that remain is kept.
-func (f *Forecast) SetInstances(instances []routing.Instance) {
+func (f *Forecast) SetInstances(instances []routing.Instance, now time.Duration) {
 	f.instanceIDs = f.instanceIDs[:0]
 	next := map[fleet.BackendServerID]*instanceState{}
 	for _, instance := range instances {
@@ -182,13 +185,14 @@
 	}
 	f.instances = next
 	slices.Sort(f.instanceIDs)
+	f.updateExclusions(now)
 }
 
 // Usable returns how many instances may get new requests.
 func (f *Forecast) Usable(now time.Duration) int {
 	n := 0
 	for _, s := range f.instances {
-		if s.usable(now) {
+		if f.available(s, now) && now >= s.suspectUntil {
 			n++
 		}
 	}
@@ -230,7 +234,7 @@
 	recomputeWeight := (recomputeFactor + congestedRecomputeFactor*f.congestion(r, now).Seconds()) / (1 + max(f.demand(longest.ID, now)-lowDemand, 0))
 	for _, id := range f.instanceIDs {
 		s := f.instances[id]
-		if !s.available(now) || !includeSuspects && now < s.suspectUntil || slices.Contains(r.Avoid, id) {
+		if !f.available(s, now) || !includeSuspects && now < s.suspectUntil || slices.Contains(r.Avoid, id) {
 			continue
 		}
 		candidates++
@@ -303,7 +307,7 @@
 	var weights [len(cachedProbability)]uint64
 	for _, id := range f.instanceIDs {
 		s := f.instances[id]
-		if !s.available(now) {
+		if !f.available(s, now) {
 			continue
 		}
 		weight := xxhash.Sum64String(string(longest.ID) + "\x00" + string(id))
--- a/placement/forecast_test.go
+++ b/placement/forecast_test.go
@@ -28,7 +28,7 @@
 		DataCentre: "d0",
 		Seed:       seed,
 	})
-	f.SetInstances(instances)
+	f.SetInstances(instances, 0)
 	return f
 }
 
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -43,14 +43,15 @@
 	cachedParts map[routing.PartID]time.Duration
 }
 
-// available reports whether the instance is not draining.
-func (s *instanceState) available(now time.Duration) bool {
+// stays reports whether the instance is not draining.
+func (s *instanceState) stays(now time.Duration) bool {
 	return !s.instance.Draining && now >= s.drainingUntil
 }
 
-// usable reports whether the instance is available and not suspected of failure.
-func (s *instanceState) usable(now time.Duration) bool {
-	return s.available(now) && now >= s.suspectUntil
+// available reports whether an instance may be chosen: it is not draining, and has not said
+// itself that it takes no requests.
+func (f *Forecast) available(s *instanceState, now time.Duration) bool {
+	return s.stays(now) && !f.excluded(s.instance.ID, now)
 }
 
 // loadAge returns the age of the latest load report, or a negative time if there is none.
--- a/routing/request.go
+++ b/routing/request.go
@@ -50,4 +50,7 @@
 	Slots int `json:"slots"`
 	// Draining instances get no new requests.
 	Draining bool `json:"leaving,omitempty"`
+	// Born is the time of day at which this run of the server started, in Unix milliseconds
+	// by the server's clock. It is 0 if the list does not contain it.
+	Born int64 `json:"born,omitempty"`
 }
--- a/simulator/play.go
+++ b/simulator/play.go
@@ -165,7 +165,7 @@
 		}
 	}
 	for _, n := range s.nodes {
-		n.placer.SetInstances(instances)
+		n.placer.SetInstances(instances, s.now)
 	}
 }
 
--- a/simulator/policy.go
+++ b/simulator/policy.go
@@ -12,7 +12,7 @@
 // Placer chooses an engine for each request of an entry node and is notified of the outcomes.
 // placement.Forecast is the implementation used in production.
 type Placer interface {
-	SetInstances(instances []routing.Instance)
+	SetInstances(instances []routing.Instance, now time.Duration)
 	Pick(r placement.ForecastRequest, now time.Duration) (placement.Assignment, bool)
 	RecordFirstByte(p *placement.Assignment, now time.Duration)
 	Report(id fleet.BackendServerID, running, waiting int, now time.Duration)
@@ -72,7 +72,7 @@
 }
 
 // SetInstances implements Placer.
-func (b *baseline) SetInstances(instances []routing.Instance) { b.instances = instances }
+func (b *baseline) SetInstances(instances []routing.Instance, _ time.Duration) { b.instances = instances }
 
 // Pick implements Placer.
 func (b *baseline) Pick(placement.ForecastRequest, time.Duration) (placement.Assignment, bool) {
