--- a/simulator/policy.go
+++ b/simulator/policy.go
@@ -72,7 +72,9 @@
 }
 
 // SetInstances implements Placer.
-func (b *baseline) SetInstances(instances []routing.Instance, _ time.Duration) { b.instances = instances }
+func (b *baseline) SetInstances(instances []routing.Instance, _ time.Duration) {
+	b.instances = instances
+}
 
 // Pick implements Placer.
 func (b *baseline) Pick(placement.ForecastRequest, time.Duration) (placement.Assignment, bool) {
