Bound everything that is read from a server, a caller, a peer or the list

Cause: http.ReadResponse reads heads of any size, an announced Content-Length was allocated at once, and limits that hold for each response alone do not bound their sum. One header line without end took 700 MB in 1.5 s.

Change: backend.Limits (settings site.responseLimits, checked) bound line, head, fields, interim responses, buffered bodies and events where the bytes arrive; all buffered bodies share a fifth of the process's memory and grow as bytes come. Event 506 and the counter responses_oversized name the part; the connection is closed, the server's verdict counts a failure, the caller gets 502. Callers' connections beyond six a megabyte are closed at once (event 109). The list, its pages, orders, frames and engine streams have bounds too. The server's read timeout no longer ends requests without a body after a minute.

--- a/backend/client.go
+++ b/backend/client.go
@@ -55,10 +55,11 @@
 		Control: TCPUserTimeout(3 * time.Second),
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    256,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: DefaultLimits.HeadBytes,
 	}
 	noReuse := transport.Clone()
 	noReuse.DisableKeepAlives = true
@@ -228,7 +229,7 @@
 	defer func() { _ = s.body.Close() }()
 	reader := bufio.NewReaderSize(s.body, 8<<10)
 	for {
-		line, err := reader.ReadBytes('\n')
+		line, err := readLine(reader)
 		if err != nil {
 			s.err = err
 			return
@@ -249,6 +250,26 @@
 	}
 }
 
+// readLine reads a line of at most the size of an event.
+func readLine(reader *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return line, nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case int64(len(line)) > DefaultLimits.EventBytes:
+			return nil, &OversizeError{
+				Part:  PartEvent,
+				Limit: DefaultLimits.EventBytes,
+			}
+		}
+	}
+}
+
 // Next returns the next chunk in order. It drops chunks of other attempts and chunks
 // that were delivered already. If nothing arrives, it probes the engine over another
 // connection and keeps waiting only while the engine reports the attempt as unfinished
@@ -350,7 +371,7 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("backend server %s: get %s: status %d", c.id, path, response.StatusCode)
 	}
-	return eris.Wrapf(json.NewDecoder(response.Body).Decode(value), "backend server %s: get %s: decode", c.id, path)
+	return eris.Wrapf(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(value), "backend server %s: get %s: decode", c.id, path)
 }
 
 // SendOrder sends an order to an engine. It returns false if the engine refuses the
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -70,8 +70,9 @@
 // must run at most once. So the connections are managed here, and only the responses
 // are parsed with net/http.
 type ConnPool struct {
-	mu   sync.Mutex
-	idle map[Instance][]*Conn
+	limits Limits
+	mu     sync.Mutex
+	idle   map[Instance][]*Conn
 	// retirements counts the calls of Retire, so that a connection that was in use
 	// during one is not returned to the pool.
 	retirements map[Instance]int
@@ -79,9 +80,10 @@
 	idleLimits map[Instance]int
 }
 
-// NewConnPool returns an empty pool.
-func NewConnPool() *ConnPool {
+// NewConnPool returns an empty pool. It reads responses within the limits.
+func NewConnPool(limits Limits) *ConnPool {
 	return &ConnPool{
+		limits:      limits.WithDefaults(),
 		idle:        map[Instance][]*Conn{},
 		retirements: map[Instance]int{},
 		idleLimits:  map[Instance]int{},
@@ -92,6 +94,7 @@
 type Conn struct {
 	instance    Instance
 	conn        net.Conn
+	guard       *headGuard
 	reader      *bufio.Reader
 	maxIdle     time.Duration
 	idleSince   time.Time
@@ -231,12 +234,17 @@
 		_ = raw.Close()
 		return nil, eris.Errorf("backend: connect to %s at %s: the instance has said meanwhile that it takes no requests", out.Instance.ID, out.Instance.Address)
 	}
+	guard := &headGuard{
+		Conn:   raw,
+		limits: c.limits,
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return &Conn{
 		instance:    out.Instance,
 		conn:        raw,
-		reader:      bufio.NewReaderSize(raw, readBufferBytes),
+		guard:       guard,
+		reader:      bufio.NewReaderSize(guard, readBufferBytes),
 		maxIdle:     defaultMaxIdle,
 		retirements: c.retirements[out.Instance],
 	}, nil
@@ -309,9 +317,12 @@
 	return err
 }
 
+// readHeader reads the head of the next response that is not an interim one.
 func (c *Conn) readHeader(method string) (*http.Response, error) {
-	for {
+	for range c.guard.limits.Interim + 1 {
+		c.guard.startHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.guard.reading = false
 		if err != nil {
 			return nil, err
 		}
@@ -319,6 +330,10 @@
 			return response, nil
 		}
 	}
+	return nil, &OversizeError{
+		Part:  PartInterim,
+		Limit: c.guard.limits.Interim,
+	}
 }
 
 // Finish ends the exchange. If the body was read to its end, the connection returns to
--- a/backend/conns_test.go
+++ b/backend/conns_test.go
@@ -126,7 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newFixedServer(t, c.text)
-			conns := NewConnPool()
+			conns := NewConnPool(Limits{})
 			conns.SetIdleLimits(map[Instance]int{s.instance: 4})
 			for i := range 2 {
 				if i > 0 {
@@ -147,7 +147,7 @@
 // connection.
 func TestRetiredConnectionsAreNotReused(t *testing.T) {
 	s := newFixedServer(t, completeResponse)
-	conns := NewConnPool()
+	conns := NewConnPool(Limits{})
 	conns.SetIdleLimits(map[Instance]int{s.instance: 4})
 	send(t, conns, s.instance, false)
 	conns.Retire(s.instance)
@@ -166,7 +166,7 @@
 	}
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	_ = listener.Close()
-	_, err = NewConnPool().Do(context.Background(), Outgoing{
+	_, err = NewConnPool(Limits{}).Do(context.Background(), Outgoing{
 		Instance: Instance{
 			ID:      "i1",
 			Address: address,
--- a/event/event.go
+++ b/event/event.go
@@ -21,14 +21,15 @@
 // an invalid message from it, and QuotaLost unused quota that could not be returned and
 // counts as spent.
 const (
-	NodeStarted   ID = 101
-	NodeStopping  ID = 102
-	NodeStopped   ID = 103
-	NodeCut       ID = 104
-	NodeFailed    ID = 105
-	NodeReloaded  ID = 106
-	ServerNotice  ID = 107
-	SignalIgnored ID = 108
+	NodeStarted        ID = 101
+	NodeStopping       ID = 102
+	NodeStopped        ID = 103
+	NodeCut            ID = 104
+	NodeFailed         ID = 105
+	NodeReloaded       ID = 106
+	ServerNotice       ID = 107
+	SignalIgnored      ID = 108
+	ConnectionsRefused ID = 109
 
 	ReplicaOpened     ID = 201
 	ReplicaFailed     ID = 202
@@ -68,9 +69,10 @@
 	AttemptFailed  ID = 408
 	LinesDropped   ID = 409
 
-	StreamResumed   ID = 503
-	InstanceLeaving ID = 504
-	InstanceFull    ID = 505
+	StreamResumed     ID = 503
+	InstanceLeaving   ID = 504
+	InstanceFull      ID = 505
+	ResponseOversized ID = 506
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -35,23 +34,6 @@
 	resultTimeout
 )
 
-// readAll is like io.ReadAll but reads into a buffer of the expected size.
-func readAll(r io.Reader, buffer []byte) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			return buffer, nil
-		}
-		if err != nil {
-			return buffer, err
-		}
-	}
-}
-
 // replaceable reports whether an attempt that has no response may be replaced by another.
 func (x *exchange) replaceable() bool {
 	return x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
@@ -210,9 +192,12 @@
 // truncated response never reaches the caller.
 func (x *exchange) relayBuffered(ctx context.Context, placed *placement.Assignment, in *backend.Incoming, response Response) (attemptResult, error) {
 	x.responseStarted(placed, response.Load)
-	body, err := readAll(io.LimitReader(in.Body, maxResponseBytes+1), make([]byte, 0, max(in.Length+1, 512)))
-	if err == nil && len(body) > maxResponseBytes {
-		err = eris.Errorf("response exceeds %d bytes", maxResponseBytes)
+	body, err := x.buffers.readAll(in.Body, in.Length, x.s.cfg.Limits.BodyBytes)
+	if errors.Is(err, errBodyTooLong) {
+		err = &backend.OversizeError{
+			Part:  backend.PartBody,
+			Limit: x.s.cfg.Limits.BodyBytes,
+		}
 	}
 	in.Finish(err == nil)
 	if err != nil {
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -45,7 +45,7 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			conns := backend.NewConnPool()
+			conns := backend.NewConnPool(backend.Limits{})
 			d := newDispatcher(dispatchConfig{
 				retrySlack:    100,
 				idleConnLimit: func(fleet.ServiceID) int { return 1 },
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,8 +15,6 @@
 )
 
 const (
-	// maxResponseBytes limits a response that is buffered before it is delivered.
-	maxResponseBytes = 4 << 20
 	// maxFailedConnects limits the failed connects of one request. They do not count
 	// as attempts because nothing was sent.
 	maxFailedConnects = 3
@@ -44,9 +41,11 @@
 	service   *routing.Service
 	workspace *routing.Workspace
 	body      []byte
-	arrived   time.Duration
-	deadline  time.Duration
-	reserved  fleet.Tokens
+	// buffers is the memory that the bodies of the request and of its responses take.
+	buffers  allocation
+	arrived  time.Duration
+	deadline time.Duration
+	reserved fleet.Tokens
 	// shortage is why quota could not be reserved, nil if it could.
 	shortage *quota.Shortage
 	// mayHaveRun is set once an instance may have started to execute the request.
@@ -89,6 +88,7 @@
 
 // serve handles the request from start to end.
 func (x *exchange) serve() {
+	defer x.buffers.release()
 	if !x.resolve() || !x.readBody() {
 		return
 	}
@@ -156,6 +156,10 @@
 
 // readBody buffers the whole body, so that a later attempt can send it again.
 func (x *exchange) readBody() bool {
+	controller := http.NewResponseController(x.w)
+	// The server's limit on the time to read a request must not end the request itself: it
+	// would count as the caller's disconnect.
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	if x.r.Body == nil || x.r.ContentLength == 0 {
 		return true
 	}
@@ -167,21 +171,20 @@
 		x.reject(http.StatusRequestEntityTooLarge, CauseBodyTooLarge)
 		return false
 	}
-	controller := http.NewResponseController(x.w)
 	_ = controller.SetReadDeadline(time.Now().Add(x.deadline - clock.SinceBoot()))
-	size := max(x.r.ContentLength, 512)
-	buffer := make([]byte, 0, size)
-	body, err := readAll(io.LimitReader(x.r.Body, limit+1), buffer)
-	_ = controller.SetReadDeadline(time.Time{})
+	body, err := x.buffers.readAll(x.r.Body, x.r.ContentLength, limit)
 	switch {
+	case errors.Is(err, errBodyTooLong):
+		x.reject(http.StatusRequestEntityTooLarge, CauseBodyTooLarge)
+		return false
+	case errors.Is(err, errBuffersFull):
+		x.refuse(CauseNodeBusy)
+		return false
 	case err != nil:
 		x.cause = CauseBodyTruncated
 		x.status = http.StatusBadRequest
 		x.logEnd(err)
 		panic(http.ErrAbortHandler)
-	case int64(len(body)) > limit:
-		x.reject(http.StatusRequestEntityTooLarge, CauseBodyTooLarge)
-		return false
 	}
 	x.body = body
 	return true
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -149,6 +149,12 @@
 	case "garbage":
 		send("not an answer\r\n\r\n")
 		return false
+	case "huge":
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 9000000000000000000\r\n\r\ndone")
+		return false
+	case "slow":
+		time.Sleep(400 * time.Millisecond)
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
 	case "silent":
 		time.Sleep(time.Second)
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,12 @@
 	RetrySlack float64
 	// MaxInFlight limits the requests in flight on the node; 0 means no limit.
 	MaxInFlight int64
-	Log         *event.Log
+	// BufferBytes bounds the memory that the bodies of all requests in flight and of their
+	// responses take; 0 means no limit.
+	BufferBytes int64
+	// Limits bounds what is read of one response. Fields that are 0 have their default.
+	Limits backend.Limits
+	Log    *event.Log
 	// Metrics receives the server's counters, latencies and gauges. New creates a set
 	// if it is nil.
 	Metrics *metrics.Set
@@ -80,6 +85,7 @@
 	view         atomic.Pointer[routing.View]
 	draining     atomic.Bool
 	inFlight     atomic.Int64
+	buffers      *bufferBudget
 	// entryNodes is the number of entry nodes that share budgets and limits, 0 until
 	// it is known.
 	entryNodes atomic.Int64
@@ -106,10 +112,12 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.New()
 	}
+	cfg.Limits = cfg.Limits.WithDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		cfg:        cfg,
-		conns:      backend.NewConnPool(),
+		conns:      backend.NewConnPool(cfg.Limits),
+		buffers:    &bufferBudget{limit: cfg.BufferBytes},
 		peers:      newPeers(cfg),
 		ctx:        ctx,
 		cancel:     cancel,
@@ -301,6 +309,7 @@
 		w:       w,
 		r:       r,
 		view:    s.view.Load(),
+		buffers: allocation{budget: s.buffers},
 		arrived: clock.SinceBoot(),
 
 		lastOnConnection: isLastRequest(r),
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/placement"
 )
 
@@ -180,8 +183,25 @@
 		Msg("request placed")
 }
 
+// logOversize logs and counts a response that exceeded a limit.
+func (x *exchange) logOversize(p *placement.Assignment, oversize *backend.OversizeError) {
+	x.s.cfg.Metrics.Count("responses_oversized", metrics.Label{
+		Name:  "part",
+		Value: string(oversize.Part),
+	})
+	x.s.cfg.Log.Warn(event.ResponseOversized).
+		Str("request", string(x.request.ID)).
+		Str("instance", string(p.Instance.ID)).
+		Str("part", string(oversize.Part)).
+		Int64("limit", oversize.Limit).
+		Msg("response exceeds a limit; its connection was closed")
+}
+
 // logAttempt logs and counts an attempt that produced no response to the caller.
 func (x *exchange) logAttempt(p *placement.Assignment, result attemptResult, err error) {
+	if oversize := (*backend.OversizeError)(nil); errors.As(err, &oversize) {
+		x.logOversize(p, oversize)
+	}
 	x.s.cfg.Metrics.Count("attempts_failed", causeLabel(causeOf(result)))
 	x.s.cfg.Log.Warn(event.AttemptFailed).
 		Str("request", string(x.request.ID)).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,7 +16,11 @@
 // the last event delivered. The header is sent with the first event: until then another
 // instance can be tried, or an error status returned.
 func (x *exchange) relayStream(ctx context.Context, placed *placement.Assignment, in *backend.Incoming, response Response) (attemptResult, error) {
-	events := eventReader{source: in.Body}
+	events := eventReader{
+		source:  in.Body,
+		limit:   x.s.cfg.Limits.EventBytes,
+		buffers: &x.buffers,
+	}
 	for {
 		chunk, err := events.next()
 		if len(chunk) > 0 {
@@ -81,12 +85,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 1 << 20
-
 // eventReader splits a stream of server-sent events into chunks of whole events.
 type eventReader struct {
-	source  io.Reader
+	source io.Reader
+	// limit bounds the size of one event, in bytes.
+	limit   int64
+	buffers *allocation
 	buffer  []byte
 	pending int // number of bytes in buffer not yet returned
 	start   int // index of the first pending byte
@@ -105,12 +109,9 @@
 	e.lastID = ""
 	for {
 		if cap(e.buffer)-e.pending < 1024 {
-			if e.pending > maxEventBytes {
-				return nil, eris.Errorf("stream event exceeds %d bytes", maxEventBytes)
+			if err := e.grow(); err != nil {
+				return nil, err
 			}
-			grown := make([]byte, e.pending, 2*cap(e.buffer)+4096)
-			copy(grown, e.buffer[:e.pending])
-			e.buffer = grown
 		}
 		n, err := e.source.Read(e.buffer[e.pending:cap(e.buffer)])
 		e.buffer = e.buffer[:e.pending+n]
@@ -134,6 +135,22 @@
 	}
 }
 
+// grow doubles the buffer, which has no room for the rest of an event.
+func (e *eventReader) grow() error {
+	if int64(e.pending) > e.limit {
+		return &backend.OversizeError{
+			Part:  backend.PartEvent,
+			Limit: e.limit,
+		}
+	}
+	size := 2*cap(e.buffer) + firstBufferBytes
+	if !e.buffers.take(int64(size - cap(e.buffer))) {
+		return errBuffersFull
+	}
+	e.buffer = append(make([]byte, 0, size), e.buffer[:e.pending]...)
+	return nil
+}
+
 var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
 // lastEventEnd returns the index after the last blank line, or 0 if there is none.
--- a/node/node.go
+++ b/node/node.go
@@ -335,6 +335,12 @@
 }
 
 func (n *Node) listen(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	return n.listenLimited(address, handler, 0)
+}
+
+// listenLimited is like listen. It closes connections beyond a number at once, so that their
+// clients try another node; 0 means no limit.
+func (n *Node) listenLimited(address netip.AddrPort, handler http.Handler, connections int64) (*http.Server, error) {
 	listenConfig := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -353,10 +359,17 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       time.Minute,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    64 << 10,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.serverLog(),
 		ConnContext:       gateway.ConnContext,
 	}
+	if connections > 0 {
+		listener = &limitedListener{
+			Listener: listener,
+			limit:    connections,
+			log:      n.cfg.Log,
+		}
+	}
 	n.background.Go(func() { _ = server.Serve(listener) })
 	return server, nil
 }
--- a/node/site.go
+++ b/node/site.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/discovery"
 	"github.com/waxwingreel/waxwingreel/event"
@@ -34,6 +35,12 @@
 	// runtime's soft memory limit. The rest is for stacks, kernel buffers and
 	// requests in flight.
 	heapShare = 0.6
+	// bufferShareOfMemory is the part of the process's memory, as a divisor, that bodies of
+	// requests and responses may take.
+	bufferShareOfMemory = 5
+	// callersPerMegabyte limits the open connections of callers by the process's memory. One
+	// takes up to 40 KiB while it sends a header.
+	callersPerMegabyte = 6
 	// requestsPerMegabyte limits the requests in flight by the process's memory. A
 	// request holds its body, about ten kilobytes, and two connections.
 	requestsPerMegabyte = 4
@@ -86,6 +93,8 @@
 		RetryRatio:  s.RetryRatio,
 		RetrySlack:  s.RetrySlack,
 		MaxInFlight: s.MemoryMegabytes * requestsPerMegabyte,
+		BufferBytes: (s.MemoryMegabytes << 20) / bufferShareOfMemory,
+		Limits:      backend.Limits(s.ResponseLimits),
 		Log:         n.cfg.Log,
 		Metrics:     n.metrics,
 	})
@@ -151,7 +160,7 @@
 	if n.site.gateway == nil {
 		return nil
 	}
-	callerServer, err := n.listen(listen.Callers, n.site.gateway)
+	callerServer, err := n.listenLimited(listen.Callers, n.site.gateway, n.cfg.Settings.Site.MemoryMegabytes*callersPerMegabyte)
 	n.site.callerServer = callerServer
 	return err
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -246,6 +246,27 @@
 	c.add("/control/bootstrap", "is set on a node that controlNodes does not list", "set it on exactly one of the listed nodes")
 }
 
+// responseLimits checks the limits that are set.
+func (c *checker) responseLimits(l ResponseLimits) {
+	const path = "/site/responseLimits/"
+	for _, limit := range []struct {
+		name        string
+		value       int64
+		least, most int64
+	}{
+		{name: "lineBytes", value: l.LineBytes, least: 1 << 10, most: 64 << 10},
+		{name: "headBytes", value: l.HeadBytes, least: 1 << 10, most: 256 << 10},
+		{name: "fields", value: l.Fields, least: 16, most: 1024},
+		{name: "interim", value: l.Interim, least: 1, most: 16},
+		{name: "bodyBytes", value: l.BodyBytes, least: 1 << 10, most: 64 << 20},
+		{name: "eventBytes", value: l.EventBytes, least: 1 << 10, most: 8 << 20},
+	} {
+		if limit.value != 0 {
+			c.inRange(path+limit.name, limit.value, limit.least, limit.most)
+		}
+	}
+}
+
 // site checks the settings of a node that serves routed requests or their configuration.
 func (c *checker) site(s *Settings) {
 	site := s.Site
@@ -276,6 +297,7 @@
 	}
 	c.inRange("/site/losses", int64(site.MaxFailures), 0, 10)
 	c.inRange("/site/stopMillis", site.StopMillis, 500, 3_600_000)
+	c.responseLimits(site.ResponseLimits)
 }
 
 func (c *checker) entry(e *Entry) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,6 +65,23 @@
 	RetrySlack float64 `json:"retrySlack"`
 	// StopMillis is the maximum duration of a planned stop.
 	StopMillis int64 `json:"stopMillis"`
+	// ResponseLimits bounds what is read of one response of an instance. Fields that are 0
+	// have their default.
+	ResponseLimits ResponseLimits `json:"responseLimits,omitzero"`
+}
+
+// ResponseLimits bounds what is read of one response of an instance, since a faulty instance may
+// send bytes without end.
+type ResponseLimits struct {
+	// LineBytes bounds the status line and each header field, HeadBytes all of them.
+	LineBytes int64 `json:"lineBytes,omitempty"`
+	HeadBytes int64 `json:"headBytes,omitempty"`
+	// Fields bounds the number of header fields, Interim that of 1xx responses.
+	Fields  int64 `json:"fields,omitempty"`
+	Interim int64 `json:"interim,omitempty"`
+	// BodyBytes bounds a body that is not a stream, EventBytes one event of a stream.
+	BodyBytes  int64 `json:"bodyBytes,omitempty"`
+	EventBytes int64 `json:"eventBytes,omitempty"`
 }
 
 // SiteListen holds the addresses that a node of a site listens on. It has no addresses
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -92,3 +92,11 @@
 		_, _ = Parse("f.jsonc", text)
 	})
 }
+
+// TestResponseLimits checks the limits on what is read of a response.
+func TestResponseLimits(t *testing.T) {
+	const site = `"site": {"seeds": ["127.0.0.1:1"], "seedPort": 7101, "instanceList": "127.0.0.1:2", "instanceListRate": 1, "stopMillis": 1000, "responseLimits": `
+	expect(t, `"entry": {}`, site+`{"lineBytes": 10}}`, `site.responseLimits.lineBytes: 10 is outside 1024 to 65536`)
+	expect(t, `"entry": {}`, site+`{"bodyBytes": -1}}`, `site.responseLimits.bodyBytes: -1 is outside 1024 to 67108864`)
+	expect(t, `"entry": {}`, site+`{"fields": 5000}}`, `site.responseLimits.fields: 5000 is outside 16 to 1024`)
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -8,8 +8,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxFrameBytes is the maximum size of a frame's body.
-const maxFrameBytes = 16 << 20
+const (
+	// maxFrameBytes is the maximum size of a frame's body.
+	maxFrameBytes = 16 << 20
+	// firstBodyBytes is the size of the buffer for the start of a frame's body.
+	firstBodyBytes = 64 << 10
+)
 
 // streamHeader is the first frame of each stream.
 type streamHeader struct {
@@ -81,7 +85,25 @@
 	if n > maxFrameBytes {
 		return nil, eris.Errorf("received frame too large: got %d bytes, want at most %d", n, maxFrameBytes)
 	}
-	body := make([]byte, n)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return readBody(r, int(n))
+}
+
+// readBody reads n bytes. Its buffer grows as they arrive: a length alone, from a peer that sends
+// nothing more, takes no memory.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, 0, min(n, firstBodyBytes))
+	for len(body) < n {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(n, 4*cap(body))), body...)
+		}
+		read, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+read]
+		if err == io.EOF && len(body) < n {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && len(body) < n {
+			return nil, err
+		}
+	}
+	return body, nil
 }
