Restarts of nodes no longer cost the fleet the square of its size

Cause: each change of the roster made every entry VM send a message to every owner, 36 of them at 291 VMs; each changed report made its control VM announce all reports of its followers to all others at once; and each change went to every follower in an update of its own.

Change: a message goes to nodes that have become owners only; announcements for changes are 100 ms apart, updates to a follower 25 ms.

--- a/control/group.go
+++ b/control/group.go
@@ -213,13 +213,14 @@
 		r.notify(effects{nodes: true})
 	}
 	interval := announceInterval
-	if r.selfForming() && r.core.Leader() == 0 {
-		interval = leaderlessAnnounceInterval
+	if r.announceSoon || r.selfForming() && r.core.Leader() == 0 {
+		interval = urgentAnnounceInterval
 	}
 	if now-r.lastAnnounced < interval {
 		return
 	}
 	r.lastAnnounced = now
+	r.announceSoon = false
 	announcement := Announcement{
 		Node:    r.cfg.Node,
 		Replica: r.id,
--- a/control/replica.go
+++ b/control/replica.go
@@ -30,10 +30,10 @@
 	heartbeatInterval = 100 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	announceInterval  = 500 * time.Millisecond
-	// leaderlessAnnounceInterval is the time between announcements while no leader
-	// is known. It is shorter because after a restart of all replicas, none can
-	// vote for a replica whose address it has not learned yet.
-	leaderlessAnnounceInterval = 100 * time.Millisecond
+	// urgentAnnounceInterval is the time between announcements while the reports of nodes
+	// change, or no leader is known: after a restart of all replicas, none can vote for a
+	// replica whose address it has not learned yet.
+	urgentAnnounceInterval = 100 * time.Millisecond
 	// leaderTimeout is the time without a message from the leader after which
 	// a replica sends no configuration to its subscribers.
 	leaderTimeout = 1500 * time.Millisecond
@@ -116,6 +116,8 @@
 	// failedSignal is closed when the replica fails.
 	failedSignal  chan struct{}
 	lastAnnounced time.Duration
+	// announceSoon is set if a node's report has changed since the last announcement.
+	announceSoon bool
 
 	messages  chan consensus.Message
 	proposals chan proposal
--- a/control/serve.go
+++ b/control/serve.go
@@ -18,9 +18,15 @@
 // submitTimeout is the time limit of one command from another process.
 const submitTimeout = 5 * time.Second
 
-// updateInterval is the longest time between two updates to a subscriber. An update
-// also serves as a heartbeat of the replica.
-const updateInterval = 500 * time.Millisecond
+const (
+	// updateInterval is the longest time between two updates to a subscriber. An update
+	// also serves as a heartbeat of the replica.
+	updateInterval = 500 * time.Millisecond
+	// minUpdateInterval is the shortest time between two updates to a subscriber. While
+	// hundreds of nodes restart, the roster changes more often than a replica can tell all its
+	// subscribers.
+	minUpdateInterval = 25 * time.Millisecond
+)
 
 // handle registers the replica's handlers with the endpoint.
 func (r *Replica) handle(endpoint *wire.Endpoint) {
@@ -206,8 +212,7 @@
 		r.directReportAt[node] = now
 		if r.table.Merge(heartbeat.Report, now) {
 			r.notify(effects{nodes: true})
-			// Announce the change to the other replicas at once.
-			r.lastAnnounced = now - announceInterval
+			r.announceSoon = true
 		}
 	})
 }
@@ -226,17 +231,34 @@
 		if update.Routing != nil {
 			s.routingVersion = update.Routing.Version
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.ctx.Done():
+		if !r.awaitChange(ctx, s, ticker.C) {
 			return
-		case <-ticker.C:
-		case <-s.notify:
 		}
 	}
 }
 
+// awaitChange waits until there is something to send to a subscriber, but at least for
+// minUpdateInterval, so that changes that come together are sent together. It returns false if the
+// subscription ends.
+func (r *Replica) awaitChange(ctx context.Context, s *subscriber, tick <-chan time.Time) bool {
+	pause := time.NewTimer(minUpdateInterval)
+	defer pause.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.ctx.Done():
+		return false
+	case <-tick:
+	case <-s.notify:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-pause.C:
+	}
+	return true
+}
+
 // update returns what has changed since the last update to a subscriber.
 func (r *Replica) update(s *subscriber) Update {
 	now := clock.SinceBoot()
--- a/control/serve_test.go
+++ b/control/serve_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -44,3 +45,26 @@
 		}
 	}
 }
+
+// TestRosterChangesAreSentTogether signals far more changes than a subscriber can take, as restarts
+// of hundreds of nodes do. Updates must not follow each other faster than minUpdateInterval.
+func TestRosterChangesAreSentTogether(t *testing.T) {
+	const length = 300 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	r := &Replica{ctx: ctx}
+	s := &subscriber{notify: make(chan struct{}, 1)}
+	go func() {
+		for ctx.Err() == nil {
+			s.notify <- struct{}{}
+		}
+	}()
+	updates := 0
+	for r.awaitChange(ctx, s, nil) {
+		updates++
+	}
+	if limit := int(length/minUpdateInterval) + 1; updates > limit || updates < limit/2 {
+		t.Errorf("got %d updates in %s, want %d to %d", updates, length, limit/2, limit)
+	}
+	<-s.notify
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,11 @@
 	// holders. It is never set, so all nodes start at the first one.
 	holderOffset int
 
+	ownersMu sync.Mutex
+	// connectedOwners has the addresses of the owners that were sent a message to open the
+	// connection.
+	connectedOwners map[netip.AddrPort]bool
+
 	listMu sync.Mutex
 	// listReadAt is the time since boot at which the instance list in use was read.
 	listReadAt time.Duration
@@ -150,17 +155,28 @@
 	s.updateQuotaBudgets()
 }
 
-// connectOwners sends a no-op message to each owner node, so that the connection is open
-// before the first request needs it.
+// connectOwners sends a no-op message to each node that has become an owner, so that the
+// connection is open before the first request needs it. Each restart of a node changes the roster
+// of all others, so a message to every owner each time would cost the fleet the square of its
+// size.
 func (s *Server) connectOwners() {
 	if s.cfg.Peers == nil {
 		return
 	}
+	s.ownersMu.Lock()
+	defer s.ownersMu.Unlock()
+	connected := map[netip.AddrPort]bool{}
 	for _, n := range s.peers.ownerSet().All() {
-		if address, ok := s.peers.address(n.ID); ok && n.ID != s.cfg.Node {
+		address, ok := s.peers.address(n.ID)
+		if !ok || n.ID == s.cfg.Node {
+			continue
+		}
+		connected[address] = true
+		if !s.connectedOwners[address] {
 			s.cfg.Peers.Send(address, MethodClaimUpdate, ClaimUpdate{Ended: true})
 		}
 	}
+	s.connectedOwners = connected
 }
 
 // idleConnLimit returns how many idle connections to keep to an instance of a service. The
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -27,6 +27,7 @@
 	reports     []roster.Report
 	unreachable map[netip.AddrPort]bool
 	calls       atomic.Int64
+	sends       atomic.Int64
 
 	mu       sync.Mutex
 	ledger   *ledger.State
@@ -147,6 +148,7 @@
 
 // Send implements PeerClient.
 func (m *mesh) Send(address netip.AddrPort, method wire.Method, value any) {
+	m.sends.Add(1)
 	body, err := cbor.Marshal(value)
 	if err != nil || m.unreachable[address] || m.servers[address] == nil {
 		return
