One entry VM reads the list of instances for all in a partition

The leader read twice a second.

Change: a VM looks for the list 1.5 s after its start at the earliest. In a partition one VM reads every 2 s, one in each data centre asks that one, and the others ask that one; a digest saves sending the same list. Only a VM that gets it from nobody reads it itself, as rarely as before. The leader reads every 750 ms, a quarter of the shortest time within which draining must be known.

Shown: TestPartitionedFleetReadsListOnce: 96 VMs, one read a poll.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -1,9 +1,10 @@
 // Package discovery reads the list of instances.
 //
 // The rate at which all nodes together may read the list is limited, and each call has a
-// cost. The leader of the control group therefore reads the list and distributes it.
-// A node that has received no list for StaleAfter reads it itself, at an interval
-// proportional to the number of nodes that may be doing the same.
+// cost. The leader of the control group therefore reads the list and distributes it. While
+// the group is out of reach, one entry node reads it for the others (package gateway). A
+// node that gets it from nobody reads it itself, at an interval proportional to the number
+// of nodes that may be doing the same.
 package discovery
 
 import (
@@ -20,8 +21,8 @@
 	// Interval is the time between two reads by the leader. Together with the lag
 	// of the list itself, it takes less than half of the time within which nodes
 	// must learn that an instance is draining.
-	Interval = 500 * time.Millisecond
-	// StaleAfter is the age of the list above which a node reads it itself.
+	Interval = 750 * time.Millisecond
+	// StaleAfter is the age of the list above which a node looks for a newer one.
 	StaleAfter = 1500 * time.Millisecond
 	// staleCheckInterval is the minimum time between two checks of the list's age.
 	staleCheckInterval = 500 * time.Millisecond
@@ -43,6 +44,9 @@
 // Config configures a Reader.
 type Config struct {
 	Lister Lister
+	// Delay is the time until Due is called for the first time. All nodes of a fleet may start
+	// at once, and most get the list from the control group soon after.
+	Delay time.Duration
 	// Interval returns the time until Due is called again. It is called after each
 	// check.
 	Interval func() time.Duration
@@ -81,13 +85,14 @@
 }
 
 func (r *Reader) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r.cfg.Due() {
-			r.read(ctx)
-		}
+	for wait := Jittered(r.cfg.Delay); ; wait = r.cfg.Interval() {
 		select {
 		case <-ctx.Done():
-		case <-time.After(r.cfg.Interval()):
+			return
+		case <-time.After(wait):
+		}
+		if r.cfg.Due() {
+			r.read(ctx)
 		}
 	}
 }
@@ -108,11 +113,15 @@
 	}
 }
 
-// FallbackInterval returns the interval, with jitter, between two reads of a node that reads
+// FallbackInterval returns the interval between two reads of a node that reads
 // the list itself. It is long enough for all nodes to do so within fallbackRateShare of the
 // permitted rate.
 func FallbackInterval(nodes int, ratePerSecond float64) time.Duration {
 	interval := time.Duration(float64(nodes) / (ratePerSecond * fallbackRateShare) * float64(time.Second))
-	interval = max(interval, staleCheckInterval)
+	return max(interval, staleCheckInterval)
+}
+
+// Jittered returns an interval that is up to a quarter longer, so that nodes do not act together.
+func Jittered(interval time.Duration) time.Duration {
 	return interval + time.Duration(rand.Int64N(int64(interval/4)+1))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,9 @@
 	RetrySlack float64
 	// MaxInFlight limits the requests in flight on the node; 0 means no limit.
 	MaxInFlight int64
+	// ListRate is the rate, in calls per second, at which all nodes together may read the
+	// list of instances.
+	ListRate float64
 	// BufferBytes bounds the memory that the bodies of all requests in flight and of their
 	// responses take; 0 means no limit.
 	BufferBytes int64
@@ -103,6 +107,12 @@
 	listReadAt time.Duration
 	// pushedInstances is the latest full list from the control group.
 	pushedInstances []routing.Instance
+	// heldInstances is the list in use, heldDigest its digest.
+	heldInstances []routing.Instance
+	heldDigest    uint64
+	// nextOwnRead is the earliest time of the next read by this node, while it gets no list
+	// from others. It is accessed only by the goroutine that calls ListDue.
+	nextOwnRead time.Duration
 	// confirmed has the ended holders for which ConfirmNoneHeld was sent or is in
 	// flight.
 	confirmed sync.Map
@@ -262,6 +272,10 @@
 		return
 	}
 	s.listReadAt = readAt
+	if !slices.Equal(s.heldInstances, list.Instances) {
+		s.heldInstances = list.Instances
+		s.heldDigest = listDigest(list.Instances)
+	}
 	s.dispatch.setInstances(list)
 }
 
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -70,7 +70,9 @@
 				holder: report.Holder,
 			},
 			Peers: m,
-			Log:   event.New(io.Discard, string(report.Holder.Node)),
+			// The platform's rate of a large deployment.
+			ListRate: 50,
+			Log:      event.New(io.Discard, string(report.Holder.Node)),
 		})
 		t.Cleanup(func() {
 			ended, cancel := context.WithCancel(context.Background())
@@ -135,6 +137,7 @@
 		MethodClaim: s.HandleClaim,
 		MethodDraw:  s.HandleDraw,
 		MethodLend:  s.HandleLend,
+		MethodList:  s.HandleList,
 	}[method]
 	result, err := handle(ctx, "", body)
 	if err != nil {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
 )
 
 // TestRollingRestartMessagesNoOwners restarts all nodes of a large fleet one after the other, as
@@ -30,3 +32,47 @@
 		t.Errorf("got %d messages to owners in %d restarts, want at most %d", got, nodes-1, limit)
 	}
 }
+
+// TestPartitionedFleetReadsListOnce cuts a large fleet off from the control group for some time.
+// All nodes must get a recent list of instances, but the platform may be called as often as by a
+// single node.
+func TestPartitionedFleetReadsListOnce(t *testing.T) {
+	const nodes, rounds = 96, 6
+	m, servers := newMesh(t, nodes)
+	list := []routing.Instance{{
+		ID:      "i1",
+		Service: "s",
+	}}
+	for _, s := range servers {
+		s.SetInstances(list)
+	}
+	reads := 0
+	for range rounds {
+		for _, s := range servers {
+			s.listMu.Lock()
+			s.listReadAt -= 3 * time.Second
+			s.listMu.Unlock()
+		}
+		m.calls.Store(0)
+		// The second pass stands for the next poll: the reader has read by then.
+		for range 2 {
+			for _, s := range servers {
+				if s.ListDue() {
+					reads++
+					s.SetInstances(list)
+				}
+			}
+		}
+		for i, s := range servers {
+			if age := s.ListAge(); age > time.Second {
+				t.Fatalf("got a list that is %s old at node %d, want that of the last read", age, i)
+			}
+		}
+		if got, limit := m.calls.Load(), int64(2*nodes); got > limit {
+			t.Errorf("got %d calls among %d nodes, want at most one each and poll", got, nodes)
+		}
+	}
+	if got, want := reads, rounds; got != want {
+		t.Errorf("got %d reads of the platform's list, want %d", got, want)
+	}
+}
--- a/node/site.go
+++ b/node/site.go
@@ -92,6 +92,7 @@
 		Protocol:    platform.Protocol{},
 		RetryRatio:  s.RetryRatio,
 		RetrySlack:  s.RetrySlack,
+		ListRate:    s.InstanceListRate,
 		MaxInFlight: s.MemoryMegabytes * requestsPerMegabyte,
 		BufferBytes: (s.MemoryMegabytes << 20) / bufferShareOfMemory,
 		Limits:      backend.Limits(s.ResponseLimits),
@@ -103,16 +104,16 @@
 	n.endpoint.HandleCall(gateway.MethodClaim, g.HandleClaim)
 	n.endpoint.HandleMessage(gateway.MethodClaimUpdate, g.HandleClaimUpdate)
 	n.endpoint.HandleCall(gateway.MethodDraw, g.HandleDraw)
+	n.endpoint.HandleCall(gateway.MethodList, g.HandleList)
 	n.endpoint.HandleMessage(gateway.MethodReturn, g.HandleReturn)
 	n.controlClient.SetHandler(g)
 	n.controlClient.SetWatcher(g)
 	n.startReader(discovery.Config{
-		Lister: lister,
-		Interval: func() time.Duration {
-			return discovery.FallbackInterval(len(n.controlClient.Roster()), s.InstanceListRate)
-		},
-		Due:     func() bool { return g.ListAge() > discovery.StaleAfter },
-		Deliver: g.SetInstances,
+		Lister:   lister,
+		Delay:    discovery.StaleAfter,
+		Interval: g.ListInterval,
+		Due:      g.ListDue,
+		Deliver:  g.SetInstances,
 	})
 	n.background.Go(func() {
 		n.join()
