One unexpected message or state ends no process; the soak plays servers in trouble

Cause (reports of operators): a panic in a peer's message handler, in the placement loop or in the state machine ended the process with all it served, and a command that panics in the state machine would have done so on every replica at every start. A restarted VM could take an instance list of any age.

Change: panics in these places are contained and logged (event 110); one in the control loop stops the replica as a disk failure does, so that the process is started again. The soak's instances also refuse with a time, send second copies late, bytes without end in head and body, and drips; they say that they leave.

--- a/backend/conns_test.go
+++ b/backend/conns_test.go
@@ -179,3 +179,55 @@
 		t.Errorf("got %v, want a SendError with Sent unset", err)
 	}
 }
+
+// TestLateCopyIsNotTheNextAnswer has an instance send a second copy of an answer while the
+// connection is in use for the next request. That request must get its own answer.
+func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	answer := func(r *http.Request) string {
+		id := r.Header.Get("Id")
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1\r\n\r\n" + id
+	}
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		last := ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			// The copy of the last answer arrives after this request has been sent.
+			_, _ = io.WriteString(conn, last+answer(r))
+			last = answer(r)
+		}
+	}()
+	pool := NewConnPool(Limits{})
+	to := Instance{
+		ID:      "i1",
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(),
+	}
+	pool.SetIdleLimits(map[Instance]int{to: 1})
+	for _, id := range []string{"1", "2", "3", "4"} {
+		out := outgoing(to)
+		out.Header.Set("Id", id)
+		out.Matches = func(_ int, h http.Header) bool { return h.Get("Id") == id }
+		in, err := pool.Do(t.Context(), out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(in.Body)
+		in.Finish(err == nil)
+		if got, want := string(body), id; got != want {
+			t.Errorf("got answer %q, want %q", got, want)
+		}
+	}
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -273,8 +274,8 @@
 	done := make(chan struct{})
 	select {
 	case r.work <- func() {
+		defer close(done)
 		f()
-		close(done)
 	}:
 	case <-r.ctx.Done():
 		return false
@@ -291,28 +292,41 @@
 func (r *Replica) loop() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-		case m := <-r.messages:
-			r.step(m)
-		case p := <-r.proposals:
-			r.propose(p)
-		case f := <-r.work:
-			f()
-		}
-		r.drain()
-		now := clock.SinceBoot()
-		if r.failed == nil {
-			r.core.Tick(now)
-			r.manageGroup()
-			r.flush()
+	for r.ctx.Err() == nil {
+		r.iterate(ticker.C)
+	}
+}
+
+// iterate processes what is queued and what is due. After a panic the replica's state is unknown,
+// as after a failed write, so the replica stops; the process ends, and the next one reads the
+// journal. On a VM that serves callers too, those are served meanwhile.
+func (r *Replica) iterate(tick <-chan time.Time) {
+	defer func() {
+		if value := recover(); value != nil {
+			r.cfg.Log.Panicked("replica")(value, debug.Stack())
+			r.fail(eris.Errorf("control: panic in the replica: %v", value))
 		}
-		r.checkLeadership()
-		r.sendAnnouncements(now)
+	}()
+	select {
+	case <-r.ctx.Done():
+		return
+	case <-tick:
+	case m := <-r.messages:
+		r.step(m)
+	case p := <-r.proposals:
+		r.propose(p)
+	case f := <-r.work:
+		f()
+	}
+	r.drain()
+	now := clock.SinceBoot()
+	if r.failed == nil {
+		r.core.Tick(now)
+		r.manageGroup()
+		r.flush()
 	}
+	r.checkLeadership()
+	r.sendAnnouncements(now)
 }
 
 // drain processes what else is queued, so that one disk sync covers many commands.
--- a/control/serve_test.go
+++ b/control/serve_test.go
@@ -1,11 +1,17 @@
 package control
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/consensus"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -68,3 +74,43 @@
 	}
 	<-s.notify
 }
+
+// TestPanicInStateMachineIsContained applies a command that makes the state machine panic. It would do
+// so on every replica at every start, so it must not end the process.
+func TestPanicInStateMachineIsContained(t *testing.T) {
+	out := &bytes.Buffer{}
+	r := &Replica{
+		cfg:     Config{Log: event.New(out, "c1")},
+		machine: &stateMachine{},
+	}
+	r.applyCommand(Command{Join: &ledger.Join{}})
+	if !strings.Contains(out.String(), "stateMachine") {
+		t.Errorf("got log %q, want the panic in it", out)
+	}
+}
+
+// TestPanicInReplicaStopsIt makes the control loop panic. The replica must stop as after a disk
+// failure, so that the process is started again, and waiting callers must be released.
+func TestPanicInReplicaStopsIt(t *testing.T) {
+	r := &Replica{
+		cfg:     Config{Log: event.New(io.Discard, "c1")},
+		machine: &stateMachine{},
+		core: consensus.New(consensus.Config{
+			ID:              1,
+			ElectionTimeout: time.Second,
+		}),
+		table:        roster.New(),
+		work:         make(chan func(), 1),
+		failedSignal: make(chan struct{}),
+		ctx:          t.Context(),
+	}
+	ran := make(chan bool)
+	go func() { ran <- r.do(func() { panic("unexpected") }) }()
+	r.iterate(nil)
+	<-ran
+	select {
+	case <-r.Failed():
+	default:
+		t.Error("got a replica that goes on after a panic in its loop, want it stopped")
+	}
+}
--- a/control/submit.go
+++ b/control/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -28,7 +29,7 @@
 			r.fail(eris.Wrapf(err, "control: decode entry %d", entry.Index))
 			return
 		}
-		result, effect := r.machine.apply(command)
+		result, effect := r.applyCommand(command)
 		all.catalog = all.catalog || effect.catalog
 		all.routing = all.routing || effect.routing
 		all.nodes = all.nodes || effect.nodes
@@ -50,6 +51,17 @@
 	}
 }
 
+// applyCommand applies a command. A command that makes the state machine panic does so on every
+// replica, in the same place; if it ended the process, no replica could start again.
+func (r *Replica) applyCommand(command Command) (result Result, effect effects) {
+	defer func() {
+		if value := recover(); value != nil {
+			r.cfg.Log.Panicked("stateMachine")(value, debug.Stack())
+		}
+	}()
+	return r.machine.apply(command)
+}
+
 // logApplied logs the result of a command that was committed in this leader's term.
 func (r *Replica) logApplied(command Command, result Result) {
 	if command.Join != nil {
--- a/event/event.go
+++ b/event/event.go
@@ -30,6 +30,7 @@
 	ServerNotice       ID = 107
 	SignalIgnored      ID = 108
 	ConnectionsRefused ID = 109
+	PanicContained     ID = 110
 
 	ReplicaOpened     ID = 201
 	ReplicaFailed     ID = 202
@@ -133,6 +134,13 @@
 	}
 }
 
+// Panicked returns a function that logs a panic in a part of the program that goes on.
+func (l *Log) Panicked(part string) func(value any, stack []byte) {
+	return func(value any, stack []byte) {
+		l.Error(PanicContained).Str("part", part).Any("value", value).Bytes("stack", stack).Msg("panic contained; what it was about has failed, the rest goes on")
+	}
+}
+
 // Info starts an event of normal operation.
 func (l *Log) Info(id ID) *log.Entry {
 	return l.infoLogger.Info().Int("event", int(id))
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -62,6 +62,7 @@
 		instances:    map[fleet.BackendServerID]routing.Instance{},
 		entryNodes:   assumedNodes,
 	}
+	d.Panicked = cfg.log.Panicked("placement")
 	d.Start(dispatchInterval, func() {}, func() {})
 	return d
 }
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -270,3 +270,26 @@
 		t.Errorf("got status %d, want %d", got, want)
 	}
 }
+
+// TestSlowAndDrippingStreams has one server that sends a sound stream slowly, each event within the
+// gap that the route allows, and one that sends a byte now and then but never an event. The first
+// must be passed on whole, the second must end at the route's timeout, and not look complete.
+func TestSlowAndDrippingStreams(t *testing.T) {
+	route := onceRoute
+	route.Kind = routing.KindStream
+	route.Timeout = 1500 * time.Millisecond
+	for action, want := range map[string]int{
+		"slowStream": http.StatusOK,
+		"drip":       http.StatusGatewayTimeout,
+	} {
+		in := newInstances(t, action)
+		server := newServer(t, route, in)
+		started := time.Now()
+		if got := sendTo(server.URL+"/x", 1); got != want {
+			t.Errorf("%s: got status %d, want %d", action, got, want)
+		}
+		if took := time.Since(started); took > route.Timeout+200*time.Millisecond {
+			t.Errorf("%s: got the end after %s, want it at the timeout of %s at the latest", action, took, route.Timeout)
+		}
+	}
+}
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -158,6 +158,22 @@
 	case "silent":
 		time.Sleep(time.Second)
 		return false
+	case "slowStream":
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := 1; i <= 8; i++ {
+			time.Sleep(150 * time.Millisecond)
+			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		}
+		send("0\r\n\r\n")
+	case "drip":
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for {
+			if _, err := io.WriteString(conn, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
 	case "stream", "break", "start":
 		return in.stream(conn, r, id, action)
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,8 +267,11 @@
 
 // applyList applies a list unless a newer one is in use. The caller holds listMu.
 func (s *Server) applyList(list control.InstanceList) {
-	readAt := clock.SinceBoot() - time.Duration(list.AgeMillis)*time.Millisecond
-	if readAt < s.listReadAt {
+	age := time.Duration(list.AgeMillis) * time.Millisecond
+	readAt := clock.SinceBoot() - age
+	// A list from long ago, which a restarted node may get from a replica that lags, has
+	// instances that left since.
+	if readAt < s.listReadAt || age > maxPassedAge {
 		return
 	}
 	s.listReadAt = readAt
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -4,12 +4,18 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 )
 
 // Loop is an event loop: a goroutine that owns the state of a component.
 type Loop struct {
+	// Panicked is called with the value and the stack of a panic in a queued function, which
+	// then counts as having run. It is set before Start; if it is nil, a panic ends the
+	// process.
+	Panicked func(value any, stack []byte)
+
 	work   chan func()
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -40,7 +46,7 @@
 			case <-l.ctx.Done():
 				return
 			case f := <-l.work:
-				f()
+				l.run(f)
 			case <-ticker.C:
 				tick()
 			}
@@ -49,6 +55,20 @@
 	})
 }
 
+// run runs a queued function. One that meets state or input that it does not expect must not end
+// all requests of the process.
+func (l *Loop) run(f func()) {
+	defer func() {
+		if l.Panicked == nil {
+			return
+		}
+		if value := recover(); value != nil {
+			l.Panicked(value, debug.Stack())
+		}
+	}()
+	f()
+}
+
 // Close stops the loop and waits for its goroutine and those started with Go.
 func (l *Loop) Close() {
 	l.cancel()
@@ -67,8 +87,8 @@
 func (l *Loop) DoAndWait(f func()) {
 	done := make(chan struct{})
 	l.Do(func() {
+		defer close(done)
 		f()
-		close(done)
 	})
 	select {
 	case <-done:
--- a/node/node.go
+++ b/node/node.go
@@ -126,6 +126,7 @@
 		Node:      s.Node,
 		Listen:    s.Listen.Wire,
 		Advertise: s.Advertise.Wire,
+		Panicked:  n.cfg.Log.Panicked("peer"),
 		Secret:    s.FleetSecret,
 	})
 	if err != nil {
--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -62,6 +62,7 @@
 	lateResponses int
 	lateArrivals  int
 	statuses      map[int]int
+	refusals      map[refusalKey]*refusal
 }
 
 func newAudit(h *harness) *audit {
@@ -70,6 +71,7 @@
 		requests: map[string]*request{},
 		consumed: map[string]int64{},
 		statuses: map[int]int{},
+		refusals: map[refusalKey]*refusal{},
 	}
 }
 
@@ -110,6 +112,7 @@
 	if faultFree && !draining.IsZero() && r.sent.After(draining.Add(drainBound+listLag)) {
 		a.h.reportViolation("draining", "request %s reached an instance that has been draining for %s", r.id, now.Sub(draining))
 	}
+	a.checkRefusal(in, r, now)
 	if r.disconnected && faultFree && now.Sub(r.ended) > lateBound {
 		a.lateArrivals++
 	}
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -174,6 +174,9 @@
 	}
 	mode := in.behaviour.Load()
 	in.h.audit.recordArrival(in, r, body)
+	if mode == behaviourRefuse {
+		return in.refuse(conn, r)
+	}
 	if mode == behaviourFull {
 		return send("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -181,7 +184,7 @@
 	head := "Attempt-Id: " + id + "\r\nInstance-Signature: " + signature(in.id, id) + "\r\nInstance-Load: 1,0,16\r\n"
 	in.mu.Lock()
 	if !in.drainingSince.IsZero() {
-		head += "Connection: close\r\n"
+		head += "Connection: close\r\nServer-Leaving: 1\r\n"
 	}
 	in.mu.Unlock()
 	switch mode {
@@ -192,6 +195,8 @@
 		return false
 	case behaviourDropResponse:
 		return false
+	case behaviourEndlessHead, behaviourEndlessBody, behaviourDrip:
+		return in.sendEndless(conn, head, mode)
 	}
 	if in.service == engineService {
 		return in.stream(conn, r, head, run, mode)
@@ -202,6 +207,9 @@
 		return false
 	}
 	time.Sleep(max(plainServiceTime, holdTime(r)))
+	if mode == behaviourDouble {
+		return sendTwice(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: "+strconv.Itoa(len(text))+"\r\n\r\n"+text)
+	}
 	return send("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text)
 }
 
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -18,6 +18,7 @@
 	"expvar"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	// Advertise is the address that peers use. If it is not valid, they use the
 	// address of the socket.
 	Advertise netip.AddrPort
+	// Panicked is called with the value and the stack of a panic in a handler, whose stream
+	// then ends. If it is nil, a panic ends the process.
+	Panicked func(value any, stack []byte)
 	// Secret is shared by all nodes of the fleet and authenticates them.
 	Secret string
 }
@@ -206,6 +210,7 @@
 func (e *Endpoint) serveStream(conn *quic.Conn, stream *quic.Stream) {
 	defer stream.CancelRead(0)
 	defer func() { _ = stream.Close() }()
+	defer e.containPanic(stream)
 	counted := &countedStream{stream: stream}
 	frame, err := readFrame(counted)
 	if err != nil {
@@ -226,6 +231,18 @@
 	}
 }
 
+// containPanic ends the stream of a handler that panicked. A message that a handler does not expect
+// must not end the process.
+func (e *Endpoint) containPanic(stream *quic.Stream) {
+	if e.cfg.Panicked == nil {
+		return
+	}
+	if value := recover(); value != nil {
+		e.cfg.Panicked(value, debug.Stack())
+		stream.CancelWrite(0)
+	}
+}
+
 func (e *Endpoint) serveCall(ctx context.Context, stream *countedStream, from fleet.NodeID, handler CallHandler) {
 	body, err := readFrame(stream)
 	if err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -83,6 +83,44 @@
 	}
 }
 
+// TestPanicInHandlerEndsItsStreamOnly calls a handler that panics. That call must fail, and others
+// on the same connection must go on.
+func TestPanicInHandlerEndsItsStreamOnly(t *testing.T) {
+	const methodPanic Method = "panic"
+	reported := make(chan any, 1)
+	server, err := New(Config{
+		Node:     "server",
+		Listen:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Secret:   "one secret for all",
+		Panicked: func(value any, _ []byte) { reported <- value },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	server.HandleCall(methodPanic, func(context.Context, fleet.NodeID, []byte) (any, error) {
+		panic("unexpected")
+	})
+	server.HandleCall(methodEcho, func(context.Context, fleet.NodeID, []byte) (any, error) {
+		return "fine", nil
+	})
+	server.Start()
+	client := endpoint(t, "client", "one secret for all")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	started := time.Now()
+	response := ""
+	if err := client.Call(ctx, server.Address(), methodPanic, "x", &response); err == nil || time.Since(started) > 2*time.Second {
+		t.Errorf("got error %v after %s from a handler that panics, want one at once", err, time.Since(started))
+	}
+	if got, want := <-reported, "unexpected"; got != want {
+		t.Errorf("got panic %v reported, want %q", got, want)
+	}
+	if got, err := call(client, server.Address(), "hello", 5*time.Second); err != nil || got != "fine" {
+		t.Errorf("got %q and error %v after the panic, want an answer", got, err)
+	}
+}
+
 func TestMessagesArriveInOrder(t *testing.T) {
 	server := endpoint(t, "server", "one secret for all")
 	received := make(chan int, 1000)
