Fewer packets between idle VMs, and per command of the control group

Cause (profile of nine control VMs and 110 entry VMs on one machine, trial: most of the time goes to QUIC): both sides of each connection pinged once a second, and each entry VM has one to every owner; the leader sent a message for each commit beside the entries; each message in the control loop looked at every node for missing heartbeats.

Change: only the side that dialed pings; entry VMs ping each other every 6 s and close a connection after three timeouts of calls in a row. The commit index waits up to 10 ms for the next entries.

Shown: TestBlackholedSparseConnection; TestCommitIndexTravelsWithEntries (two messages a command and follower on the old code, at most 1.3 now).

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -117,16 +117,19 @@
 	lastLeaderContact time.Duration
 	// lastFresh is when the last message arrived from a leader that held its lease,
 	// leaderCommit the highest commit index that a leader has sent.
-	lastFresh             time.Duration
-	leaderCommit          Index
-	electionDeadline      time.Duration
-	nextHeartbeat         time.Duration
-	votes                 map[ReplicaID]bool
-	forced                bool
-	progress              map[ReplicaID]*progress
-	round                 uint64
-	roundSentAt           map[uint64]time.Duration
-	termStart             Index
+	lastFresh        time.Duration
+	leaderCommit     Index
+	electionDeadline time.Duration
+	nextHeartbeat    time.Duration
+	votes            map[ReplicaID]bool
+	forced           bool
+	progress         map[ReplicaID]*progress
+	round            uint64
+	roundSentAt      map[uint64]time.Duration
+	termStart        Index
+	// commitBroadcastDue is when the leader sends its commit index to the followers that no
+	// other message has told it.
+	commitBroadcastDue    time.Duration
 	transferring          bool
 	transferUntil         time.Duration
 	incoming              *incomingSnapshot
@@ -341,6 +344,9 @@
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
+	if c.now >= c.commitBroadcastDue {
+		c.broadcastCommit()
+	}
 	if c.now < c.nextHeartbeat {
 		return
 	}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -88,6 +88,7 @@
 	c.roundSentAt = map[uint64]time.Duration{}
 	c.transferring = false
 	c.nextHeartbeat = c.now + c.cfg.HeartbeatInterval
+	c.commitBroadcastDue = never
 	c.ensureProgress()
 	c.termStart = c.log.lastIndex() + 1
 	c.log.append(Entry{
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -11,6 +12,8 @@
 	// first entry to send.
 	match Index
 	next  Index
+	// commitSent is the commit index up to which a message has let the replica commit.
+	commitSent Index
 	// base is the last log index when replication to this replica began. It
 	// limits the entries in flight until the first acknowledgement.
 	base Index
@@ -162,6 +165,7 @@
 		Round:    c.nextRound(),
 	})
 	p.next += Index(len(entries))
+	p.commitSent = max(p.commitSent, min(c.commit, p.next-1))
 }
 
 func (c *Core) nextRound() uint64 {
@@ -286,20 +290,28 @@
 		return
 	}
 	c.commit = quorumMatch
+	c.commitBroadcastDue = min(c.commitBroadcastDue, c.now+commitBroadcastDelay)
 	if _, member := c.members.Find(c.cfg.ID); !member && c.membersIndex <= c.commit {
 		c.broadcastCommit()
 		c.becomeFollower(c.hardState.Term, 0)
-		return
 	}
-	c.broadcastCommit()
 }
 
-// broadcastCommit sends the new commit index at once, so that the state machine of
-// every replica lags by at most one message.
+// commitBroadcastDelay is how long the leader waits for another message to a follower that can
+// contain the new commit index. Under load there is one for every entry; without the delay there
+// would be two.
+const commitBroadcastDelay = 10 * time.Millisecond
+
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// broadcastCommit sends the commit index to the followers that no message has told it yet, so that
+// their state machines do not wait for the next heartbeat.
 func (c *Core) broadcastCommit() {
+	c.commitBroadcastDue = never
 	for _, r := range c.members.Replicas {
 		p := c.progress[r.ID]
-		if r.ID == c.cfg.ID || p == nil || p.pendingSnapshot != 0 || p.next <= c.log.snapshot.Index {
+		if r.ID == c.cfg.ID || p == nil || p.pendingSnapshot != 0 || p.next <= c.log.snapshot.Index || p.commitSent >= c.commit {
 			continue
 		}
 		c.sendEntries(r.ID, p, nil)
--- a/consensus/uptodate_test.go
+++ b/consensus/uptodate_test.go
@@ -214,3 +214,44 @@
 	}
 	return m
 }
+
+// TestCommitIndexTravelsWithEntries proposes commands faster than the round trip, as a leader under
+// load gets them. The followers must learn that they are committed from the messages of later
+// commands, and soon after the last one, without a message of its own for each.
+func TestCommitIndexTravelsWithEntries(t *testing.T) {
+	c := newDirectCluster(5)
+	for c.leader() == nil {
+		c.tick()
+		c.deliver(nil, func() {})
+	}
+	const commands = 100
+	leader, appends := c.leader(), 0
+	for i := range commands {
+		leader.Propose([]byte(fmt.Sprintf("command %d", i)))
+		c.collect(leader)
+		c.now += time.Millisecond
+		for _, core := range c.cores {
+			core.Tick(c.now)
+			c.collect(core)
+		}
+		for _, m := range c.network {
+			if m.Kind == MessageAppend {
+				appends++
+			}
+		}
+		c.deliver(nil, func() {})
+	}
+	followers := len(c.cores) - 1
+	if limit := commands * followers * 13 / 10; appends > limit {
+		t.Errorf("got %d messages for %d commands and %d followers, want at most %d", appends, commands, followers, limit)
+	}
+	c.now += 2 * commitBroadcastDelay
+	leader.Tick(c.now)
+	c.collect(leader)
+	c.deliver(nil, func() {})
+	for id, core := range c.cores {
+		if core.applied != leader.commit {
+			t.Errorf("got replica %d at entry %d soon after the last command, want %d", id, core.applied, leader.commit)
+		}
+	}
+}
--- a/control/group.go
+++ b/control/group.go
@@ -209,8 +209,11 @@
 // sendAnnouncements sets StateDead for unresponsive nodes and, once per interval,
 // announces this replica and its node reports to the other control nodes.
 func (r *Replica) sendAnnouncements(now time.Duration) {
-	if r.table.MarkDead(now) {
-		r.notify(effects{nodes: true})
+	if now-r.lastMarkedDead >= tickInterval {
+		r.lastMarkedDead = now
+		if r.table.MarkDead(now) {
+			r.notify(effects{nodes: true})
+		}
 	}
 	interval := announceInterval
 	if r.announceSoon || r.selfForming() && r.core.Leader() == 0 {
--- a/control/replica.go
+++ b/control/replica.go
@@ -117,6 +117,9 @@
 	// failedSignal is closed when the replica fails.
 	failedSignal  chan struct{}
 	lastAnnounced time.Duration
+	// lastMarkedDead is when nodes without heartbeats were last looked for. The loop runs for
+	// every message, a look at every node each time would grow with the square of the fleet.
+	lastMarkedDead time.Duration
 	// announceSoon is set if a node's report has changed since the last announcement.
 	announceSoon bool
 
--- a/node/site.go
+++ b/node/site.go
@@ -88,7 +88,7 @@
 		Node:        n.cfg.Settings.Node,
 		DataCentre:  n.cfg.Settings.DataCentre,
 		Control:     n.controlClient,
-		Peers:       n.endpoint,
+		Peers:       n.endpoint.Sparse(),
 		Protocol:    platform.Protocol{},
 		RetryRatio:  s.RetryRatio,
 		RetrySlack:  s.RetrySlack,
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -8,9 +8,13 @@
 // # Unresponsive connections
 //
 // The network between two VMs can stop forwarding the packets of an existing connection
-// while new connections work. An idle connection therefore sends a QUIC ping each second
-// and is closed after three seconds without a packet from the peer. All its streams then
-// end with an error, and the next use dials a new connection from the same port.
+// while new connections work. The process that dialed an idle connection therefore sends a QUIC
+// ping each second and closes it after three seconds without a packet from the peer. All its
+// streams then end with an error, and the next use dials a new connection from the same port.
+//
+// Entry nodes have a connection to each of dozens of others, most of which are idle at any time,
+// so the pings would cost more than the calls. Such peers are pinged rarely (see Sparse): their
+// calls have short timeouts, and some timeouts in a row close the connection.
 package wire
 
 import (
@@ -31,8 +35,14 @@
 
 // Timeouts and intervals of connections.
 const (
-	keepAlivePeriod  = time.Second
-	idleTimeout      = 3 * time.Second
+	keepAlivePeriod = time.Second
+	idleTimeout     = 3 * time.Second
+	// sparseKeepAlivePeriod and sparseIdleTimeout apply to peers that are called through Sparse.
+	sparseKeepAlivePeriod = 6 * time.Second
+	sparseIdleTimeout     = 15 * time.Second
+	// sparseTimeouts is the number of timeouts of calls in a row after which the connection to
+	// such a peer is closed.
+	sparseTimeouts   = 3
 	handshakeTimeout = 2 * time.Second
 	writeTimeout     = 2 * time.Second
 	// redialDelay is the time after a failed send to a peer in which messages to it
@@ -90,7 +100,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wait       sync.WaitGroup
-	dial       func(context.Context, netip.AddrPort) (*quic.Conn, error)
+	dial       func(context.Context, *peer) (*quic.Conn, error)
 
 	calls    map[Method]CallHandler
 	messages map[Method]MessageHandler
@@ -129,10 +139,19 @@
 		channels: map[Method]ChannelHandler{},
 		peers:    map[netip.AddrPort]*peer{},
 	}
-	e.dial = func(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
-		return e.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), identity, e.quicConfig)
+	sparse := e.quicConfig.Clone()
+	sparse.MaxIdleTimeout, sparse.KeepAlivePeriod = sparseIdleTimeout, sparseKeepAlivePeriod
+	e.dial = func(ctx context.Context, p *peer) (*quic.Conn, error) {
+		cfg := e.quicConfig
+		if p.sparse.Load() {
+			cfg = sparse
+		}
+		return e.transport.Dial(ctx, net.UDPAddrFromAddrPort(p.address), identity, cfg)
 	}
-	e.listener, err = e.transport.Listen(identity, e.quicConfig)
+	// The side that dialed sends the pings, and the shorter idle timeout of both applies.
+	accepted := sparse.Clone()
+	accepted.KeepAlivePeriod = 0
+	e.listener, err = e.transport.Listen(identity, accepted)
 	if err != nil {
 		cancel()
 		_ = socket.Close()
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -15,6 +16,10 @@
 type peer struct {
 	address netip.AddrPort
 	queue   chan queuedMessage
+	// sparse is set for a peer that is called through Sparse.
+	sparse atomic.Bool
+	// timeouts counts the timeouts of calls in a row.
+	timeouts atomic.Int32
 
 	mu   sync.Mutex
 	conn *quic.Conn
@@ -77,7 +82,7 @@
 func (e *Endpoint) dialPeer(ctx context.Context, p *peer) (*quic.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := e.dial(dialCtx, p.address)
+	conn, err := e.dial(dialCtx, p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(p.dialed)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -185,6 +185,47 @@
 	}
 }
 
+// TestBlackholedSparseConnection does the same for a peer that is pinged rarely. The calls that get
+// no response in time must close the connection, long before its idle timeout.
+func TestBlackholedSparseConnection(t *testing.T) {
+	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
+	network := faultproxy.NewNetwork(1)
+	network.SetEndpoint(client.Address(), "client")
+	unused := endpoint(t, "unused", "x").Address()
+	listen := netip.AddrPortFrom(unused.Addr(), unused.Port()+1)
+	udp, err := faultproxy.NewUDP(network, "server", listen, server.Address())
+	if err != nil {
+		t.Skipf("no free port for the fault proxy: %v", err)
+	}
+	t.Cleanup(udp.Close)
+	sparseCall := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		response := ""
+		return client.Sparse().Call(ctx, listen, methodEcho, "hello", &response)
+	}
+	if err := sparseCall(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	blackholed := client.peer(listen).conn
+	network.SetFaults(faultproxy.Direction{
+		From: "server",
+		To:   "client",
+	}, faultproxy.Faults{Cut: true})
+	for range sparseTimeouts {
+		if err := sparseCall(50 * time.Millisecond); err == nil {
+			t.Fatal("got a response without a path, want an error")
+		}
+	}
+	if blackholed.Context().Err() == nil {
+		t.Error("got a connection that is kept after timeouts in a row, want it closed")
+	}
+	network.ClearFaults()
+	if err := sparseCall(5 * time.Second); err != nil {
+		t.Errorf("got error %v after the path was restored, want a response", err)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	buffer := &bytes.Buffer{}
 	if _, err := writeFrame(buffer, streamHeader{
