--- a/consensus/uptodate_test.go
+++ b/consensus/uptodate_test.go
@@ -17,6 +17,8 @@
 	cores   map[ReplicaID]*Core
 	now     time.Duration
 	network []Message
+	// appends counts the messages with entries or a commit index.
+	appends int
 }
 
 func newDirectCluster(replicas int) *directCluster {
@@ -53,6 +55,11 @@
 		committed := core.Persisted()
 		c.network = append(c.network, out.BeforeSync...)
 		c.network = append(c.network, out.AfterSync...)
+		for _, m := range out.BeforeSync {
+			if m.Kind == MessageAppend {
+				c.appends++
+			}
+		}
 		if len(out.BeforeSync)+len(out.AfterSync)+len(committed) == 0 {
 			return
 		}
@@ -225,7 +232,8 @@
 		c.deliver(nil, func() {})
 	}
 	const commands = 100
-	leader, appends := c.leader(), 0
+	leader := c.leader()
+	c.appends = 0
 	for i := range commands {
 		leader.Propose([]byte(fmt.Sprintf("command %d", i)))
 		c.collect(leader)
@@ -234,16 +242,11 @@
 			core.Tick(c.now)
 			c.collect(core)
 		}
-		for _, m := range c.network {
-			if m.Kind == MessageAppend {
-				appends++
-			}
-		}
 		c.deliver(nil, func() {})
 	}
 	followers := len(c.cores) - 1
-	if limit := commands * followers * 13 / 10; appends > limit {
-		t.Errorf("got %d messages for %d commands and %d followers, want at most %d", appends, commands, followers, limit)
+	if limit := commands * followers * 13 / 10; c.appends > limit {
+		t.Errorf("got %d messages for %d commands and %d followers, want at most %d", c.appends, commands, followers, limit)
 	}
 	c.now += 2 * commitBroadcastDelay
 	leader.Tick(c.now)
