The list is read as often as the bound on draining demands; stop times with a fraction

Cause: four pages of the list every 750 ms, whatever the bound on draining is; and a time of grace with a fraction, which the platform's pages allow, would have made settings that cannot be read, as zeros were appended to it.

Change: the leader reads four times within the bound, at least every second; stopSeconds takes a fraction.

Shown: TestStopSecondsMayHaveAFraction.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	// Interval is the time between two reads by the leader. Together with the lag
-	// of the list itself, it takes less than half of the time within which nodes
-	// must learn that an instance is draining.
-	Interval = 750 * time.Millisecond
+	// minInterval and maxInterval bound the time between two reads by the leader.
+	minInterval = 250 * time.Millisecond
+	maxInterval = time.Second
 	// StaleAfter is the age of the list above which a node looks for a newer one.
 	StaleAfter = 1500 * time.Millisecond
 	// staleCheckInterval is the minimum time between two checks of the list's age.
@@ -113,6 +112,13 @@
 	}
 }
 
+// Interval returns the time between two reads by the leader. With the lag of the list itself and the
+// way to the nodes, it takes less than half of the time within which a node must send nothing more
+// to an instance that the list shows as draining.
+func Interval(drain time.Duration) time.Duration {
+	return min(max(drain/4, minInterval), maxInterval)
+}
+
 // FallbackInterval returns the interval between two reads of a node that reads
 // the list itself. It is long enough for all nodes to do so within fallbackRateShare of the
 // permitted rate.
--- a/node/site.go
+++ b/node/site.go
@@ -65,9 +65,10 @@
 		n.openGateway(lister)
 	}
 	if n.replica != nil {
+		drain := time.Duration(s.DrainMillis) * time.Millisecond
 		n.startReader(discovery.Config{
 			Lister:   lister,
-			Interval: func() time.Duration { return discovery.Interval },
+			Interval: func() time.Duration { return discovery.Interval(drain) },
 			Due:      n.HoldsLeaderLease,
 			Deliver:  n.replica.SetInstances,
 		})
--- a/settings/check.go
+++ b/settings/check.go
@@ -297,6 +297,7 @@
 	}
 	c.inRange("/site/losses", int64(site.MaxFailures), 0, 10)
 	c.inRange("/site/stopMillis", site.StopMillis, 500, 3_600_000)
+	c.inRange("/site/drainMillis", site.DrainMillis, 500, 3_600_000)
 	c.responseLimits(site.ResponseLimits)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,8 +63,13 @@
 	// beyond the first one of each request.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
-	// StopMillis is the maximum duration of a planned stop.
-	StopMillis int64 `json:"stopMillis"`
+	// StopMillis is the maximum duration of a planned stop. StopSeconds, which may have a
+	// fraction, is used if StopMillis is 0.
+	StopMillis  int64   `json:"stopMillis,omitempty"`
+	StopSeconds float64 `json:"stopSeconds,omitempty"`
+	// DrainMillis is the time within which no request may be sent to an instance any more that
+	// the list shows as draining.
+	DrainMillis int64 `json:"drainMillis,omitempty"`
 	// ResponseLimits bounds what is read of one response of an instance. Fields that are 0
 	// have their default.
 	ResponseLimits ResponseLimits `json:"responseLimits,omitzero"`
@@ -197,6 +202,7 @@
 	defaultPartitionMinutes   = 20
 	defaultDirectorySeconds   = 5
 	defaultStopSeconds        = 120
+	defaultDrainMillis        = 3000
 	defaultMaxBodyBytes       = 4 << 20
 	defaultQueueLength        = 1024
 	defaultMaxInFlight        = 4096
@@ -280,6 +286,10 @@
 }
 
 func (s *Settings) fillDefaults() {
+	if s.Site != nil {
+		setDefault(&s.Site.StopMillis, int64(s.Site.StopSeconds*1000))
+		setDefault(&s.Site.DrainMillis, defaultDrainMillis)
+	}
 	if !s.Advertise.Wire.IsValid() {
 		s.Advertise.Wire = s.Listen.Wire
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -100,3 +100,20 @@
 	expect(t, `"entry": {}`, site+`{"bodyBytes": -1}}`, `site.responseLimits.bodyBytes: -1 is outside 1024 to 67108864`)
 	expect(t, `"entry": {}`, site+`{"fields": 5000}}`, `site.responseLimits.fields: 5000 is outside 16 to 1024`)
 }
+
+// TestStopSecondsMayHaveAFraction reads the time of a planned stop as platforms state it.
+func TestStopSecondsMayHaveAFraction(t *testing.T) {
+	text := strings.Replace(validSettings, `"entry": {}`,
+		`"site": {"seeds": ["127.0.0.1:1"], "seedPort": 7101, "listen": {"control": "127.0.0.1:3"},
+		"instanceList": "127.0.0.1:2", "instanceListRate": 1, "stopSeconds": 8.5}`, 1)
+	s, err := Parse("f.jsonc", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Site.StopMillis, int64(8500); got != want {
+		t.Errorf("got %d ms for a planned stop, want %d", got, want)
+	}
+	if got, want := s.Site.DrainMillis, int64(defaultDrainMillis); got != want {
+		t.Errorf("got %d ms for draining, want the default of %d", got, want)
+	}
+}
