Connections without streams are closed; the leader's lease is looked up once a moment

Change: a connection that has had no stream for 12 s is closed by the side that dialed; a call dials again.

Shown: TestUnusedConnectionIsClosed.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -129,7 +129,10 @@
 	termStart        Index
 	// commitBroadcastDue is when the leader sends its commit index to the followers that no
 	// other message has told it.
-	commitBroadcastDue    time.Duration
+	commitBroadcastDue time.Duration
+	// leaseHeld is whether the leader held its lease at leaseCheckedAt.
+	leaseHeld             bool
+	leaseCheckedAt        time.Duration
 	transferring          bool
 	transferUntil         time.Duration
 	incoming              *incomingSnapshot
@@ -212,6 +215,17 @@
 	return c.role == RoleLeader && !c.transferring && c.commit >= c.termStart && now < c.leaseEnd()
 }
 
+// isolated reports whether the leader does not hold its lease. It is called for every message, so it
+// looks for the contact to a quorum only once for each time; contact that is made meanwhile counts
+// from the next time on.
+func (c *Core) isolated() bool {
+	if c.leaseCheckedAt != c.now {
+		c.leaseCheckedAt = c.now
+		c.leaseHeld = c.HoldsLease(c.now)
+	}
+	return !c.leaseHeld
+}
+
 // AppliedAll reports whether Persisted has returned every entry up to the commit
 // index. Between Step and Persisted that may not be the case.
 func (c *Core) AppliedAll() bool {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -89,6 +89,7 @@
 	c.transferring = false
 	c.nextHeartbeat = c.now + c.cfg.HeartbeatInterval
 	c.commitBroadcastDue = never
+	c.leaseCheckedAt = -1
 	c.ensureProgress()
 	c.termStart = c.log.lastIndex() + 1
 	c.log.append(Entry{
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -161,7 +161,7 @@
 		LogTerm:  c.log.term(previous),
 		Entries:  entries,
 		Commit:   c.commit,
-		Isolated: !c.HoldsLease(c.now),
+		Isolated: c.isolated(),
 		Round:    c.nextRound(),
 	})
 	p.next += Index(len(entries))
@@ -201,7 +201,7 @@
 			To:       id,
 			Index:    0,
 			Commit:   c.commit,
-			Isolated: !c.HoldsLease(c.now),
+			Isolated: c.isolated(),
 			Round:    c.nextRound(),
 		})
 		return
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -30,7 +30,7 @@
 		Offset:     p.offset,
 		Total:      len(snapshot.Data),
 		Commit:     c.commit,
-		Isolated:   !c.HoldsLease(c.now),
+		Isolated:   c.isolated(),
 		Round:      c.nextRound(),
 	})
 }
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -20,9 +20,11 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,8 @@
 	// sparseKeepAlivePeriod and sparseIdleTimeout apply to peers that are called through Sparse.
 	sparseKeepAlivePeriod = 6 * time.Second
 	sparseIdleTimeout     = 15 * time.Second
+	// unusedTimeout is how long a connection without streams is kept.
+	unusedTimeout = 12 * time.Second
 	// sparseTimeouts is the number of timeouts of calls in a row after which the connection to
 	// such a peer is closed.
 	sparseTimeouts   = 3
@@ -97,6 +101,7 @@
 	transport  *quic.Transport
 	listener   *quic.Listener
 	quicConfig *quic.Config
+	opened     time.Time
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wait       sync.WaitGroup
@@ -132,6 +137,7 @@
 			MaxIncomingStreams:    1 << 16,
 			MaxIncomingUniStreams: 1 << 10,
 		},
+		opened:   time.Now(),
 		ctx:      ctx,
 		cancel:   cancel,
 		calls:    map[Method]CallHandler{},
@@ -157,9 +163,39 @@
 		_ = socket.Close()
 		return nil, eris.Wrapf(err, "wire: listen on %s", cfg.Listen)
 	}
+	e.wait.Go(e.closeUnused)
 	return e, nil
 }
 
+// closeUnused closes connections that have had no stream for unusedTimeout. Each node calls the
+// leader of the control group when it starts and seldom afterwards; without this, a leader would be
+// pinged by the whole fleet for ever.
+func (e *Endpoint) closeUnused() {
+	ticker := time.NewTicker(unusedTimeout / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.closeOlderThan(unusedTimeout)
+	}
+}
+
+// closeOlderThan closes the connections that have no stream and had none for the given time.
+func (e *Endpoint) closeOlderThan(limit time.Duration) {
+	now := time.Since(e.opened)
+	e.mu.Lock()
+	peers := slices.Collect(maps.Values(e.peers))
+	e.mu.Unlock()
+	for _, p := range peers {
+		if p.streams.Load() == 0 && now-time.Duration(p.usedAt.Load()) > limit {
+			p.closeConn(nil)
+		}
+	}
+}
+
 // HandleCall sets the handler of a call.
 func (e *Endpoint) HandleCall(method Method, handler CallHandler) {
 	e.calls[method] = handler
@@ -304,6 +340,16 @@
 // countedStream adds the bytes read and written to the traffic counters.
 type countedStream struct {
 	stream *quic.Stream
+	// peer is nil for a stream that the peer opened.
+	peer *peer
+	once sync.Once
+}
+
+// ended counts the stream as closed. Further calls do nothing.
+func (c *countedStream) ended() {
+	if c.peer != nil {
+		c.once.Do(func() { c.peer.streams.Add(-1) })
+	}
 }
 
 // Read implements io.Reader.
@@ -346,4 +392,5 @@
 func (c *Channel) Close() {
 	c.stream.stream.CancelRead(0)
 	_ = c.stream.stream.Close()
+	c.stream.ended()
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -18,6 +18,10 @@
 	queue   chan queuedMessage
 	// sparse is set for a peer that is called through Sparse.
 	sparse atomic.Bool
+	// streams counts the open streams, and usedAt is when one was last opened, in nanoseconds
+	// since the endpoint was opened.
+	streams atomic.Int64
+	usedAt  atomic.Int64
 	// timeouts counts the timeouts of calls in a row.
 	timeouts atomic.Int32
 
@@ -117,7 +121,7 @@
 		if err != nil {
 			return nil, err
 		}
-		stream, err := e.openOn(ctx, conn, address, method)
+		stream, err := e.openOn(ctx, p, conn, method)
 		if err == nil || attempt == maxOpenAttempts || !connectionEnded(err) || ctx.Err() != nil {
 			return stream, err
 		}
@@ -136,12 +140,18 @@
 	return errors.As(err, &idle) || errors.As(err, &application) || errors.As(err, &transport) || errors.As(err, &reset)
 }
 
-func (e *Endpoint) openOn(ctx context.Context, conn *quic.Conn, address netip.AddrPort, method Method) (*countedStream, error) {
+func (e *Endpoint) openOn(ctx context.Context, p *peer, conn *quic.Conn, method Method) (*countedStream, error) {
+	address := p.address
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, eris.Wrapf(err, "wire: open a stream to %s", address)
 	}
-	counted := &countedStream{stream: stream}
+	counted := &countedStream{
+		stream: stream,
+		peer:   p,
+	}
+	p.streams.Add(1)
+	p.usedAt.Store(int64(time.Since(e.opened)))
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetWriteDeadline(deadline)
 	}
@@ -151,6 +161,7 @@
 	}
 	if _, err := writeFrame(counted, h); err != nil {
 		stream.CancelWrite(0)
+		counted.ended()
 		return nil, eris.Wrapf(err, "wire: open a stream to %s: send the header of %s", address, method)
 	}
 	return counted, nil
@@ -168,6 +179,7 @@
 		stream.stream.CancelWrite(0)
 	})
 	defer stop()
+	defer stream.ended()
 	defer stream.stream.CancelRead(0)
 	if _, err := writeFrame(stream, request); err != nil {
 		return eris.Wrapf(err, "wire: %s to %s: send the request", method, address)
@@ -246,6 +258,7 @@
 	_ = stream.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := writeFrame(stream, message.value); err != nil {
 		stream.stream.CancelWrite(0)
+		stream.ended()
 		delete(streams, message.method)
 		messagesDropped.Add(1)
 		return false
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -226,6 +226,42 @@
 	}
 }
 
+// TestUnusedConnectionIsClosed lets a connection without streams grow old beside one that has an open
+// channel. Only the first may be closed, and a later call must dial again.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	const methodHold Method = "hold"
+	unused, used := echoServer(t), endpoint(t, "server", "one secret for all")
+	used.HandleChannel(methodHold, func(ctx context.Context, _ fleet.NodeID, _ *Channel) { <-ctx.Done() })
+	used.Start()
+	client := endpoint(t, "client", "one secret for all")
+	if _, err := call(client, unused.Address(), "hello", 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	channel, err := client.Open(ctx, used.Address(), methodHold)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer channel.Close()
+	isOpen := func(e *Endpoint) bool {
+		p := client.peer(e.Address())
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.conn != nil
+	}
+	client.closeOlderThan(0)
+	if isOpen(unused) {
+		t.Error("got an unused connection that stays open, want it closed")
+	}
+	if !isOpen(used) {
+		t.Error("got a connection with a channel closed, want it open")
+	}
+	if _, err := call(client, unused.Address(), "hello", 5*time.Second); err != nil {
+		t.Errorf("got error %v from a call after that, want it to dial again", err)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	buffer := &bytes.Buffer{}
 	if _, err := writeFrame(buffer, streamHeader{
