--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/placement"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -76,3 +78,26 @@
 		t.Errorf("got %d reads of the platform's list, want %d", got, want)
 	}
 }
+
+// TestListOfLongAgoIsNotUsed gives a node that has just started a list from long ago, as a replica
+// that lags would. It has servers that left since, so the node must wait for a recent one.
+func TestListOfLongAgoIsNotUsed(t *testing.T) {
+	_, servers := newMesh(t, 1)
+	s := servers[0]
+	list := control.InstanceList{
+		AgeMillis: (30 * time.Second).Milliseconds(),
+		Instances: []routing.Instance{{
+			ID:      "left",
+			Service: "s",
+		}},
+	}
+	s.HandleInstances(list)
+	if _, _, ok := s.dispatch.pick("s", placement.ForecastRequest{}, true); ok {
+		t.Error("got an instance of a list that is 30 s old, want none")
+	}
+	list.AgeMillis = 100
+	s.HandleInstances(list)
+	if _, _, ok := s.dispatch.pick("s", placement.ForecastRequest{}, true); !ok {
+		t.Error("got no instance of a recent list, want one")
+	}
+}
