A lease grows with the requests that a node gets, not only with an even part

Change: a node whose target exceeds the even part may hold up to 400 of 1,000, as long as all together stay within 700, by what the ledger said others hold.

--- a/lease/metered.go
+++ b/lease/metered.go
@@ -24,6 +24,8 @@
 	// minimum target: a workspace that sends little or nothing yet may send more
 	// during a network partition.
 	minHoldDivisor = 3
+	// maxHoldPerMille is the part of the remainder that one pool may hold.
+	maxHoldPerMille = 400
 	// limitHeadroom is the spending at the average rate that a new limit allows at
 	// once. The limit rises slopeFactor times as fast as the average spending.
 	limitHeadroom = time.Second
@@ -158,6 +160,7 @@
 		return change
 	}
 	target := p.meteredTarget(q, now)
+	change.HoldPerMille = p.maxHold(q, target)
 	own := q.ownFree()
 	switch {
 	case q.free < target:
@@ -221,6 +224,19 @@
 	return q.last.Free + q.last.LeasedElsewhere + q.free + q.reserved
 }
 
+// maxHold returns the part of the remainder that the pool may hold, in per mille: an even part, or
+// more if its own requests need it and the others hold less than theirs. Callers keep to an address
+// that works, so one node may get most of a workspace's requests, and in a partition the others
+// could lend it their leases only as fast as their own limits rise.
+func (p *Pool) maxHold(q *quota, target fleet.Tokens) int64 {
+	perMille := p.remainder(q) / 1000
+	if perMille == 0 || target <= perMille*fleet.Tokens(p.holdPerMille) {
+		return p.holdPerMille
+	}
+	left := MeteredPerMille - int64(q.last.LeasedElsewhere/perMille)
+	return max(p.holdPerMille, min(left, maxHoldPerMille))
+}
+
 // meteredTarget returns how much free quota the pool tries to hold: its spending during a
 // network partition of the configured length, and at least a part of the remainder.
 func (p *Pool) meteredTarget(q *quota, now time.Duration) fleet.Tokens {
--- a/lease/workload_test.go
+++ b/lease/workload_test.go
@@ -19,6 +19,9 @@
 	rate        float64
 	meanCost    float64
 	partitioned bool
+	// focus is the part of the requests that the first node gets. The others are spread over all
+	// nodes.
+	focus float64
 
 	requested fleet.Tokens
 	rejected  fleet.Tokens
@@ -106,6 +109,9 @@
 func (w *testWorkload) sendRequest() {
 	cluster := w.cluster
 	node := cluster.nodes[w.rng.IntN(len(cluster.nodes))]
+	if w.focus > 0 && w.rng.Float64() < w.focus {
+		node = cluster.nodes[0]
+	}
 	cost := fleet.Tokens(min(w.meanCost*math.Exp(w.rng.NormFloat64()*0.8-0.32), 6*w.meanCost))
 	w.requested += cost
 	switch {
@@ -180,6 +186,9 @@
 		nodes int
 		// left is how long the rest of the total lasts when the partition begins.
 		left time.Duration
+		// focus is the part of the requests that one node gets, since callers keep to the
+		// address that works.
+		focus float64
 		// minServed is the part of the requested tokens that must be served, in per mille.
 		minServed int64
 	}{
@@ -195,6 +204,20 @@
 			left:      16 * time.Second,
 			minServed: 900,
 		},
+		{
+			name:      "early, callers keep to one of 8 nodes",
+			nodes:     8,
+			left:      40 * time.Second,
+			focus:     0.8,
+			minServed: 900,
+		},
+		{
+			name:      "late, callers keep to one of 8 nodes",
+			nodes:     8,
+			left:      16 * time.Second,
+			focus:     0.8,
+			minServed: 900,
+		},
 		{
 			name:      "early, 65 nodes",
 			nodes:     65,
@@ -206,6 +229,7 @@
 			const connectedTime = 20 * time.Second
 			rate := 60_000.0 * float64(test.nodes) / 8
 			workload := newTestWorkload(test.nodes, fleet.Tokens(rate*(connectedTime+test.left).Seconds()), rate)
+			workload.focus = test.focus
 			workload.run(connectedTime)
 			if served := 1000 * (workload.requested - workload.rejected) / workload.requested; served < 990 {
 				t.Errorf("got %d per mille served while connected, want 990 or more", served)
