--- a/control/replica.go
+++ b/control/replica.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -272,88 +271,6 @@
 	}
 }
 
-// do runs f on the goroutine that owns the replica's state and reports whether f ran.
-func (r *Replica) do(f func()) bool {
-	done := make(chan struct{})
-	select {
-	case r.work <- func() {
-		defer close(done)
-		f()
-	}:
-	case <-r.ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
-
-// loop processes messages, proposals and timers. Its goroutine owns the replica's state.
-func (r *Replica) loop() {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for r.ctx.Err() == nil {
-		r.iterate(ticker.C)
-	}
-}
-
-// iterate processes what is queued and what is due. After a panic the replica's state is unknown,
-// as after a failed write, so the replica stops; the process ends, and the next one reads the
-// journal. On a VM that serves callers too, those are served meanwhile.
-func (r *Replica) iterate(tick <-chan time.Time) {
-	defer func() {
-		if value := recover(); value != nil {
-			r.cfg.Log.Panicked("replica")(value, debug.Stack())
-			r.fail(eris.Errorf("control: panic in the replica: %v", value))
-		}
-	}()
-	select {
-	case <-r.ctx.Done():
-		return
-	case <-tick:
-	case m := <-r.messages:
-		r.step(m)
-	case p := <-r.proposals:
-		r.propose(p)
-	case f := <-r.work:
-		f()
-	}
-	r.drain()
-	now := clock.SinceBoot()
-	if r.failed == nil {
-		r.core.Tick(now)
-		r.manageGroup()
-		r.flush()
-	}
-	r.checkLeadership()
-	r.sendAnnouncements(now)
-}
-
-// drain processes what else is queued, so that one disk sync covers many commands.
-func (r *Replica) drain() {
-	for range maxBatch {
-		select {
-		case m := <-r.messages:
-			r.step(m)
-		case p := <-r.proposals:
-			r.propose(p)
-		case f := <-r.work:
-			f()
-		default:
-			return
-		}
-	}
-}
-
-func (r *Replica) step(m consensus.Message) {
-	if r.failed == nil {
-		r.core.Step(m, clock.SinceBoot())
-	}
-}
-
 // flush persists, sends and applies the output of the core until there is none left.
 func (r *Replica) flush() {
 	for {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -142,7 +142,9 @@
 	go func() { exited <- command.Wait() }()
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
-		<-exited
+		if err := <-exited; err == nil {
+			t.Error("got a process that ended by itself, want it to run until it is killed")
+		}
 	})
 	awaitListening(t, entry)
 	if err := log.Close(); err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -142,21 +142,32 @@
 	}
 }
 
+// proxied puts a fault proxy before a server and returns its network and its address.
+func proxied(t *testing.T, client, server *Endpoint) (*faultproxy.Network, netip.AddrPort) {
+	t.Helper()
+	network := faultproxy.NewNetwork(1)
+	network.SetEndpoint(client.Address(), "client")
+	unused := endpoint(t, "unused", "x").Address()
+	err := error(nil)
+	for offset := uint16(1); offset < 20; offset++ {
+		listen := netip.AddrPortFrom(unused.Addr(), unused.Port()+offset)
+		udp := (*faultproxy.UDP)(nil)
+		if udp, err = faultproxy.NewUDP(network, "server", listen, server.Address()); err == nil {
+			t.Cleanup(udp.Close)
+			return network, listen
+		}
+	}
+	t.Fatalf("no free port for the fault proxy: %v", err)
+	return nil, netip.AddrPort{}
+}
+
 // TestBlackholedConnection blackholes the path between the client and the server in both
 // directions, but not that of other endpoints, so that packets on an open connection are
 // lost without an error. A call on it must fail within seconds, and a call after the path
 // is restored must succeed on a new connection.
 func TestBlackholedConnection(t *testing.T) {
 	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
-	network := faultproxy.NewNetwork(1)
-	network.SetEndpoint(client.Address(), "client")
-	unused := endpoint(t, "unused", "x").Address()
-	listen := netip.AddrPortFrom(unused.Addr(), unused.Port()+1)
-	udp, err := faultproxy.NewUDP(network, "server", listen, server.Address())
-	if err != nil {
-		t.Skipf("no free port for the fault proxy: %v", err)
-	}
-	t.Cleanup(udp.Close)
+	network, listen := proxied(t, client, server)
 	if _, err := call(client, listen, "before", 5*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -189,15 +200,7 @@
 // no response in time must close the connection, long before its idle timeout.
 func TestBlackholedSparseConnection(t *testing.T) {
 	server, client := echoServer(t), endpoint(t, "client", "one secret for all")
-	network := faultproxy.NewNetwork(1)
-	network.SetEndpoint(client.Address(), "client")
-	unused := endpoint(t, "unused", "x").Address()
-	listen := netip.AddrPortFrom(unused.Addr(), unused.Port()+1)
-	udp, err := faultproxy.NewUDP(network, "server", listen, server.Address())
-	if err != nil {
-		t.Skipf("no free port for the fault proxy: %v", err)
-	}
-	t.Cleanup(udp.Close)
+	network, listen := proxied(t, client, server)
 	sparseCall := func(limit time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
