After a restart of all, the new leader reads the list at once, and no VM without one is ready

VMs counted as ready without a list.

Change: a control VM looks every 100 ms until it leads; a VM is ready once it has a list.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -21,6 +21,9 @@
 	// minInterval and maxInterval bound the time between two reads by the leader.
 	minInterval = 250 * time.Millisecond
 	maxInterval = time.Second
+	// leadCheckInterval is the time between two checks of a node that does not lead. After a
+	// restart of all nodes none has a list until the new leader reads it.
+	leadCheckInterval = 100 * time.Millisecond
 	// StaleAfter is the age of the list above which a node looks for a newer one.
 	StaleAfter = 1500 * time.Millisecond
 	// staleCheckInterval is the minimum time between two checks of the list's age.
@@ -119,6 +122,15 @@
 	return min(max(drain/4, minInterval), maxInterval)
 }
 
+// LeaderInterval returns the time until a control node checks again whether to read the list: that
+// of Interval if it leads the control group, and a short one otherwise.
+func LeaderInterval(leads bool, drain time.Duration) time.Duration {
+	if leads {
+		return Interval(drain)
+	}
+	return leadCheckInterval
+}
+
 // FallbackInterval returns the interval between two reads of a node that reads
 // the list itself. It is long enough for all nodes to do so within fallbackRateShare of the
 // permitted rate.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,8 +88,10 @@
 	quotaManager atomic.Pointer[quota.Manager]
 	view         atomic.Pointer[routing.View]
 	draining     atomic.Bool
-	inFlight     atomic.Int64
-	buffers      *bufferBudget
+	// hasList is set once the node has had a list of instances.
+	hasList  atomic.Bool
+	inFlight atomic.Int64
+	buffers  *bufferBudget
 	// entryNodes is the number of entry nodes that share budgets and limits, 0 until
 	// it is known.
 	entryNodes atomic.Int64
@@ -275,6 +277,7 @@
 		return
 	}
 	s.listReadAt = readAt
+	s.hasList.Store(true)
 	if !slices.Equal(s.heldInstances, list.Instances) {
 		s.heldInstances = list.Instances
 		s.heldDigest = listDigest(list.Instances)
@@ -317,9 +320,10 @@
 	}
 }
 
-// Ready reports whether the node can serve callers.
+// Ready reports whether the node can serve callers: it has a configuration, quota and a list of
+// instances, and does not drain.
 func (s *Server) Ready() bool {
-	return s.view.Load() != nil && s.quotaManager.Load() != nil && !s.draining.Load()
+	return s.view.Load() != nil && s.quotaManager.Load() != nil && s.hasList.Load() && !s.draining.Load()
 }
 
 // InFlight returns the number of requests in flight.
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -101,3 +101,20 @@
 		t.Error("got no instance of a recent list, want one")
 	}
 }
+
+// TestNodeWithoutListIsNotReady starts a node that has a configuration and quota before it has a list
+// of instances, as after a restart of the whole fleet. It could only refuse requests, so callers
+// must not be led to it yet.
+func TestNodeWithoutListIsNotReady(t *testing.T) {
+	_, servers := newMesh(t, 1)
+	s := servers[0]
+	s.HandleRouting(routing.NewView(routing.Config{Version: 1}))
+	s.StartQuota()
+	if s.Ready() {
+		t.Error("got a node ready without a list of instances, want it not ready")
+	}
+	s.SetInstances(nil)
+	if !s.Ready() {
+		t.Error("got a node not ready with a list, want it ready")
+	}
+}
--- a/node/site.go
+++ b/node/site.go
@@ -68,7 +68,7 @@
 		drain := time.Duration(s.DrainMillis) * time.Millisecond
 		n.startReader(discovery.Config{
 			Lister:   lister,
-			Interval: func() time.Duration { return discovery.Interval(drain) },
+			Interval: func() time.Duration { return discovery.LeaderInterval(n.HoldsLeaderLease(), drain) },
 			Due:      n.HoldsLeaderLease,
 			Deliver:  n.replica.SetInstances,
 		})
