Revert: requests borrow quota before a partition is noticed

Borrowed quota counts as spent at the lender, so that each short hiccup of the ledger moved tokens to where a kill or a power loss forfeits them whole.

--- a/quota/manager.go
+++ b/quota/manager.go
@@ -19,9 +19,6 @@
 	// leaseTimeout is the timeout of one command to the ledger. It is longer than a
 	// leader election takes.
 	leaseTimeout = 3 * time.Second
-	// overdueAfter is how long the ledger may take for a command until it counts as out of
-	// reach. It takes two round trips and two disk syncs.
-	overdueAfter = 150 * time.Millisecond
 )
 
 // Ledger submits commands to the control group, which replicates the ledger.
@@ -100,8 +97,6 @@
 	waiting         map[fleet.BudgetID][]*waiter
 	// sending is true while a command with lease changes is in flight.
 	sending bool
-	// sentAt is when that command was sent.
-	sentAt time.Duration
 	// lastSent is the sequence number of the last command that was sent, and
 	// acknowledged that of the last one that got a result.
 	lastSent     uint64
@@ -196,7 +191,7 @@
 			w.result <- nil
 			return
 		}
-		if !m.ledgerResponds() && !m.borrow(budget, amount) {
+		if m.ledgerReachable != nil && !m.ledgerReachable() && !m.borrow(budget, amount) {
 			w.result <- &Shortage{LedgerUnreachable: true}
 			return
 		}
@@ -260,7 +255,7 @@
 	m.pool.AddBorrowed(budget, lent, clock.SinceBoot())
 	m.serveWaiters(budget)
 	waiting := m.waiting[budget]
-	if len(waiting) == 0 || m.ledgerResponds() {
+	if len(waiting) == 0 || m.ledgerReachable() {
 		return
 	}
 	b.failedAt = clock.SinceBoot()
@@ -382,26 +377,10 @@
 	m.updateNeed(budget)
 }
 
-// ledgerResponds reports whether it makes sense to wait for the ledger. It takes a second or more
-// until a node notices that it has lost the control group; a command without a result for
-// overdueAfter tells it sooner, so that a request can borrow before its time is over.
-func (m *Manager) ledgerResponds() bool {
-	if m.ledgerReachable == nil {
-		return true
-	}
-	overdue := m.sending && clock.SinceBoot()-m.sentAt > overdueAfter
-	return m.ledgerReachable() && !overdue
-}
-
-// expire rejects the requests whose deadline has passed, and borrows for the others while the
-// ledger does not respond.
+// expire rejects the requests whose deadline has passed.
 func (m *Manager) expire() {
 	now := clock.SinceBoot()
-	responds := m.ledgerResponds()
 	for budget, waiting := range m.waiting {
-		if !responds && len(waiting) > 0 {
-			m.borrow(budget, waiting[0].amount)
-		}
 		var kept []*waiter
 		for _, w := range waiting {
 			if now < w.deadline {
@@ -429,7 +408,6 @@
 		return
 	}
 	m.sending = true
-	m.sentAt = clock.SinceBoot()
 	m.lastSent++
 	number := m.lastSent
 	command := control.Command{
