A replica that becomes stale says so at once and is left at once

Its followers count as stale 2.0 s later, tell their subscribers up to 0.5 s after that, and were given 0.7 s more: two VMs came to the new configuration at 13.59 s, 2.02 s after it was acknowledged.

Change: a replica tells a change of its freshness at once; a subscriber leaves it at once while there are others that it has not tried.

Shown: TestReplicaThatBecomesStaleIsLeftAtOnce, 1.07 s on the old code.

--- a/control/loop.go
+++ b/control/loop.go
@@ -67,6 +67,7 @@
 		r.flush()
 	}
 	r.checkLeadership()
+	r.checkFreshness(now)
 	r.sendAnnouncements(now)
 }
 
@@ -91,3 +92,11 @@
 		r.core.Step(m, clock.SinceBoot())
 	}
 }
+
+// checkFreshness tells the subscribers at once when this replica has become stale, or up to date.
+func (r *Replica) checkFreshness(now time.Duration) {
+	if upToDate := r.core.UpToDate(now, leaderTimeout); upToDate != r.wasUpToDate {
+		r.wasUpToDate = upToDate
+		r.notify(effects{nodes: true})
+	}
+}
--- a/control/replica.go
+++ b/control/replica.go
@@ -106,6 +106,8 @@
 	directReportAt map[fleet.NodeID]time.Duration
 	pending        map[consensus.Index]pendingCommand
 	wasLeader      bool
+	// wasUpToDate is whether this replica was up to date when the loop last ran.
+	wasUpToDate bool
 	// snapshotBytes is the size of the latest snapshot.
 	snapshotBytes int64
 	// holderActivity is reset whenever this replica gains or loses leadership.
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -22,8 +22,9 @@
 var errStale = eris.New("controlclient: the control replica is stale: it is not up to date with a leader")
 
 // runSubscriptions keeps the node subscribed to a control replica. When a subscription
-// ends, it subscribes again and starts with the next replica of the list. It leaves a replica
-// that is stale from the start at once as long as there are others that it has not tried.
+// ends, it subscribes again and starts with the next replica of the list. It leaves a stale
+// replica at once as long as there are others that it has not tried: by the time that a replica
+// counts itself as stale, the bound on how long a configuration takes is half used up.
 func (c *Client) runSubscriptions() {
 	staleInRow := 0
 	for i := 0; c.ctx.Err() == nil; i++ {
@@ -105,7 +106,7 @@
 
 // subscribe subscribes to the replica that responds first. When the subscription ends, it
 // returns the replica's address, whether the replica was ever fresh, and the error. A replica that
-// is stale from the start is left after patience.
+// is stale is left after patience.
 func (c *Client) subscribe(replicas []netip.AddrPort, patience time.Duration) (address netip.AddrPort, wasFresh bool, err error) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
@@ -151,8 +152,8 @@
 }
 
 // receiveUpdates processes updates until none has arrived for updateTimeout, or the replica is
-// stale while there are other replicas to try: for longer than patience if it was never fresh,
-// otherwise for longer than staleSwitchDelay. It reports whether the replica was ever fresh.
+// stale for longer than patience while there are other replicas to try. It reports whether the
+// replica was ever fresh.
 func (c *Client) receiveUpdates(address netip.AddrPort, ch *wire.Channel, patience time.Duration) (wasFresh bool, err error) {
 	known := map[fleet.NodeID]roster.Report{}
 	staleSince := time.Time{}
@@ -168,7 +169,6 @@
 		case !update.Stale:
 			staleSince = time.Time{}
 			wasFresh = true
-			patience = staleSwitchDelay
 		case staleSince.IsZero():
 			staleSince = time.Now()
 		}
--- a/controlclient/subscribe_test.go
+++ b/controlclient/subscribe_test.go
@@ -75,3 +75,41 @@
 		t.Errorf("got configuration %d, want %d", got, want)
 	}
 }
+
+// TestReplicaThatBecomesStaleIsLeftAtOnce follows a replica that is cut off from the group with its
+// leader. It counts itself as stale late, so the node must not give it more time.
+func TestReplicaThatBecomesStaleIsLeftAtOnce(t *testing.T) {
+	const freshTime = 400 * time.Millisecond
+	cutOff := newEndpoint(t, "cut-off")
+	becameStale := make(chan time.Time, 1)
+	cutOff.HandleChannel(control.MethodSubscribe, func(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
+		if ch.Send(control.Update{}) != nil {
+			return
+		}
+		time.Sleep(freshTime)
+		select {
+		case becameStale <- time.Now():
+		default:
+		}
+		for ctx.Err() == nil && ch.Send(control.Update{Stale: true}) == nil {
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	cutOff.Start()
+	fresh := serveReplica(t, "fresh", 0, control.Update{Routing: &routing.Config{Version: 7}})
+	c := New(Config{
+		Holder:   fleet.Holder{Node: "entry"},
+		Endpoint: newEndpoint(t, "entry"),
+		Replicas: []netip.AddrPort{cutOff.Address(), fresh},
+		Report:   func() roster.Report { return roster.Report{} },
+		Log:      event.New(io.Discard, "entry"),
+	})
+	defer c.Close()
+	since := <-becameStale
+	for c.routingVersion() != 7 && time.Since(since) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took, limit := time.Since(since), 400*time.Millisecond; took > limit {
+		t.Errorf("got the later configuration %s after the replica became stale, want it within %s", took, limit)
+	}
+}
