--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -32,7 +32,7 @@
 	// counts as unreachable. A busy replica can lag behind its leader briefly.
 	staleGracePeriod = 400 * time.Millisecond
 	// staleSwitchDelay is how long a replica may be stale before another one is
-	// tried. A replica reports itself stale only 1.5 s after the last message
+	// tried, if all others were stale too. A replica reports itself stale only 1.5 s after the last message
 	// from its leader.
 	staleSwitchDelay = 700 * time.Millisecond
 	retryInterval    = 50 * time.Millisecond
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -52,9 +52,9 @@
 // recent list asks others before that.
 //
 // While the control group is out of reach, one entry node reads the list for all. Each data centre
-// has a node that asks it, and the others ask that one, so that neither the calls to the platform
-// nor those to a single node grow with the square of the fleet. If every node read the list, 291
-// of them made 760 calls in two partitions of 8 s, and got a list every 23 s.
+// has a node that asks it, and the others ask that one, so that the calls to the platform do not
+// grow with the fleet, and those to a single node only with its data centre. If every node read the
+// list within the permitted rate, a node of a large fleet would get one every 20 s or so.
 func (s *Server) ListDue() bool {
 	if s.ListAge() <= discovery.StaleAfter {
 		return false
