Log how a response marks its end and what of an event was unfinished

Events 405 and 408 now have framing and unfinishedBytes, and streams_ended counts ends by framing and by place. No decision changes.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -146,13 +146,35 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64
-	// delimited is set if the body has a length or is chunked, so that it does not
-	// extend to the end of the connection.
-	delimited bool
-	conn      *Conn
-	pool      *ConnPool
-	close     bool
-	stop      func() bool
+	// Framing is how the end of the body is marked.
+	Framing Framing
+	conn    *Conn
+	pool    *ConnPool
+	close   bool
+	stop    func() bool
+}
+
+// Framing is how the end of a body is marked.
+type Framing string
+
+const (
+	// FramingLength means that the header has the length of the body.
+	FramingLength Framing = "length"
+	// FramingChunked means that the last chunk marks the end.
+	FramingChunked Framing = "chunked"
+	// FramingConnection means that the body extends to the end of the connection, which looks
+	// the same when the server has crashed.
+	FramingConnection Framing = "connection"
+)
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramingChunked
+	case response.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingConnection
 }
 
 // Do sends a request and reads the header of its response. When ctx ends before Finish
@@ -282,13 +304,13 @@
 		}
 		if out.Matches(response.StatusCode, response.Header) {
 			return &Incoming{
-				Status:    response.StatusCode,
-				Header:    response.Header,
-				Body:      response.Body,
-				Length:    response.ContentLength,
-				delimited: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-				conn:      c,
-				close:     response.Close,
+				Status:  response.StatusCode,
+				Header:  response.Header,
+				Body:    response.Body,
+				Length:  response.ContentLength,
+				Framing: framingOf(response),
+				conn:    c,
+				close:   response.Close,
 			}, nil
 		}
 		// This is the response to an earlier request. The one to this request may
@@ -341,7 +363,7 @@
 func (in *Incoming) Finish(complete bool) {
 	stopped := in.stop()
 	c := in.conn
-	if !stopped || !complete || in.close || !in.delimited || c.reader.Buffered() > 0 {
+	if !stopped || !complete || in.close || in.Framing == FramingConnection || c.reader.Buffered() > 0 {
 		_ = c.conn.Close()
 		return
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,6 +76,7 @@
 		return x.endBrokenAttempt(ctx, placed, sent, err)
 	}
 	x.attempts++
+	x.framing = in.Framing
 	response := x.s.cfg.Protocol.ReadResponse(in.Status, in.Header)
 	x.s.dispatch.responseRead(x.service.ID, placed, response)
 	if response.NotRun || response.OtherInstance {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
@@ -67,6 +68,10 @@
 	headerSent bool
 	events     int
 	lastEvent  string
+	// framing is that of the last response read, and unfinishedBytes what came of an event
+	// before the response ended.
+	framing         backend.Framing
+	unfinishedBytes int
 	// failedResponse is the latest 5xx response of an instance. It is delivered if no
 	// later attempt succeeds.
 	failedResponse *bufferedResponse
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,17 @@
 	s.cfg.Metrics.Observe("request", duration, routeLabel(route))
 }
 
+// countStreamEnd counts the end of an instance's stream, whether regular or not.
+func (s *Server) countStreamEnd(framing backend.Framing, inEvent bool) {
+	s.cfg.Metrics.Count("streams_ended", metrics.Label{
+		Name:  "framing",
+		Value: string(framing),
+	}, metrics.Label{
+		Name:  "in_event",
+		Value: strconv.FormatBool(inEvent),
+	})
+}
+
 // observeFirstByte records the time from a request's arrival to the first byte of its
 // response.
 func (s *Server) observeFirstByte(x *exchange) {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -209,6 +209,8 @@
 		Str("outcome", string(causeOf(result))).
 		Int("attempts", x.attempts).
 		Int64("leftMillis", (x.deadline-clock.SinceBoot()).Milliseconds()).
+		Str("framing", string(x.framing)).
+		Int("unfinishedBytes", x.unfinishedBytes).
 		AnErr("error", err).
 		Msg("attempt failed")
 }
@@ -253,6 +255,8 @@
 		Int("attempts", x.attempts).
 		Int("connects", x.failedConnects).
 		Int("events", x.events).
+		Str("framing", string(x.framing)).
+		Int("unfinishedBytes", x.unfinishedBytes).
 		Int64("costTokens", int64(x.request.MaxCost())).
 		Bool("mayHaveRun", x.mayHaveRun).
 		Bool("controlFresh", x.s.cfg.Control.ControlReachable()).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,6 +23,10 @@
 	}
 	for {
 		chunk, err := events.next()
+		if err != nil {
+			x.unfinishedBytes = events.unfinished
+			x.s.countStreamEnd(in.Framing, events.unfinished > 0)
+		}
 		if len(chunk) > 0 {
 			if !x.headerSent {
 				x.responseStarted(placed, response.Load)
@@ -98,6 +102,8 @@
 	// the last event id in that chunk, if any.
 	eventCount int
 	lastID     string
+	// unfinished is the number of bytes of an event that had begun when the stream ended.
+	unfinished int
 }
 
 // next returns one or more whole events. At the regular end of the stream it returns the
@@ -118,6 +124,7 @@
 		e.pending += n
 		if err == io.EOF {
 			rest := e.buffer[:e.pending]
+			e.unfinished = len(rest) - lastEventEnd(rest)
 			e.count(rest)
 			e.pending = 0
 			return rest, err
@@ -130,6 +137,7 @@
 			return chunk, nil
 		}
 		if err != nil {
+			e.unfinished = e.pending
 			return nil, err
 		}
 	}
