--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -54,6 +54,8 @@
 	// byInstance has the number of requests at each instance.
 	byInstance map[string]int
 	list       []routing.Instance
+	// body is what the actions fin and abort send after the header fields of every response.
+	body string
 }
 
 func newInstances(t *testing.T, script string) *scriptedInstances {
@@ -143,6 +145,14 @@
 	case "reset":
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
+	case "fin":
+		send("HTTP/1.1 200 OK\r\n" + id + in.body)
+		return false
+	case "abort":
+		send("HTTP/1.1 200 OK\r\n" + id + in.body)
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
 	case "foreign":
 		send("HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nInstance-Signature: signed\r\nContent-Length: 5\r\n\r\nother")
 		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
