A stream that ends inside an event is broken off, however it is framed

Cause: the reader of event streams took any end of the body for the end of the stream and passed on what it had of the last event. The class: an end that nobody declared complete is taken as complete.

Change: the reader knows whether an event is unfinished. Then the attempt has failed: the stream goes on elsewhere if the route allows it, else the caller's connection is closed, or 502 before the first event. That holds for chunks and lengths too, for buffered events, and for a stream that ended with its connection before any event.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,6 +200,10 @@
 			Limit: x.s.cfg.Limits.BodyBytes,
 		}
 	}
+	if err == nil && holdsEvents(in.Header.Get("Content-Type")) && unfinishedBytes(body) > 0 {
+		x.unfinishedBytes = unfinishedBytes(body)
+		err = errUnfinishedEvent
+	}
 	in.Finish(err == nil)
 	if err != nil {
 		return x.endBrokenAttempt(ctx, placed, true, eris.Wrap(err, "read response body"))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -20,9 +21,15 @@
 		source:  in.Body,
 		limit:   x.s.cfg.Limits.EventBytes,
 		buffers: &x.buffers,
+		opaque:  !mayHoldEvents(in.Header),
 	}
+	empty := true
 	for {
 		chunk, err := events.next()
+		empty = empty && len(chunk) == 0
+		if err == io.EOF && empty && in.Framing == backend.FramingConnection {
+			err = errNoEvents
+		}
 		if err != nil {
 			x.unfinishedBytes = events.unfinished
 			x.s.countStreamEnd(in.Framing, events.unfinished > 0)
@@ -89,12 +96,36 @@
 	panic(http.ErrAbortHandler)
 }
 
+var (
+	// errUnfinishedEvent means that a stream ended inside an event. Only an instance that has
+	// crashed ends it there, even if the response is framed as complete.
+	errUnfinishedEvent = eris.New("the stream ended inside an event")
+	// errNoEvents means that a connection ended before the first event of a stream that
+	// extends to its end.
+	errNoEvents = eris.New("the connection ended before the first event")
+)
+
+const eventStreamType = "text/event-stream"
+
+// mayHoldEvents reports whether a response holds server-sent events or does not say what it holds.
+func mayHoldEvents(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	return contentType == "" || holdsEvents(contentType)
+}
+
+func holdsEvents(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
+}
+
 // eventReader splits a stream of server-sent events into chunks of whole events.
 type eventReader struct {
 	source io.Reader
 	// limit bounds the size of one event, in bytes.
 	limit   int64
 	buffers *allocation
+	// opaque is set if the body does not hold events, so that it may end anywhere.
+	opaque  bool
 	buffer  []byte
 	pending int // number of bytes in buffer not yet returned
 	start   int // index of the first pending byte
@@ -106,8 +137,9 @@
 	unfinished int
 }
 
-// next returns one or more whole events. At the regular end of the stream it returns the
-// rest with io.EOF, after a failure only the error.
+// next returns one or more whole events. At the end of the stream it returns the rest with io.EOF
+// or, if the stream ended inside an event, the whole events before it with errUnfinishedEvent.
+// After a failure it returns only the error.
 func (e *eventReader) next() ([]byte, error) {
 	copy(e.buffer, e.buffer[e.start:e.start+e.pending])
 	e.start = 0
@@ -123,11 +155,7 @@
 		e.buffer = e.buffer[:e.pending+n]
 		e.pending += n
 		if err == io.EOF {
-			rest := e.buffer[:e.pending]
-			e.unfinished = len(rest) - lastEventEnd(rest)
-			e.count(rest)
-			e.pending = 0
-			return rest, err
+			return e.last()
 		}
 		if end := lastEventEnd(e.buffer[:e.pending]); end > 0 {
 			chunk := e.buffer[:end]
@@ -143,6 +171,33 @@
 	}
 }
 
+// last returns the rest of a stream whose source has ended.
+func (e *eventReader) last() ([]byte, error) {
+	rest, err := e.buffer[:e.pending], io.EOF
+	e.pending = 0
+	if !e.opaque {
+		e.unfinished = unfinishedBytes(rest)
+	}
+	if e.unfinished > 0 {
+		rest, err = rest[:lastEventEnd(rest)], errUnfinishedEvent
+	}
+	e.count(rest)
+	return rest, err
+}
+
+// unfinishedBytes returns the size of the event inside which data ends, 0 if it ends between two
+// events. Whole comment lines are not part of an event.
+func unfinishedBytes(data []byte) int {
+	tail := data[lastEventEnd(data):]
+	for line := range bytes.Lines(tail) {
+		whole := line[len(line)-1] == '\n'
+		if !whole || line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
+			return len(tail)
+		}
+	}
+	return 0
+}
+
 // grow doubles the buffer, which has no room for the rest of an event.
 func (e *eventReader) grow() error {
 	if int64(e.pending) > e.limit {
