A request that is given up never ends like a finished one

What callers could see: one that shuts the sending side of its connection after the request and still reads got 200 with no body, or a stream without its last events that was framed as complete.

Cause: net/http cancels a request when the caller's side ends. The gateway then returned from the handler, and net/http ends a response whose handler returns: an unwritten one as 200, chunks with the last one. Any other early return would have done the same.

Change: an exchange is complete only where its whole response was sent; ServeHTTP closes the connection of every other one. The three places that closed it on their own now just return.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,6 +72,9 @@
 	// before the response ended.
 	framing         backend.Framing
 	unfinishedBytes int
+	// complete is set once the caller has been sent a whole response. The connection of any other
+	// exchange is closed, so that its response does not look complete.
+	complete bool
 	// failedResponse is the latest 5xx response of an instance. It is delivered if no
 	// later attempt succeeds.
 	failedResponse *bufferedResponse
@@ -189,7 +192,7 @@
 		x.cause = CauseBodyTruncated
 		x.status = http.StatusBadRequest
 		x.logEnd(err)
-		panic(http.ErrAbortHandler)
+		return false
 	}
 	x.body = body
 	return true
@@ -319,7 +322,8 @@
 	case x.r.Context().Err() != nil:
 		x.logDisconnect()
 	case x.headerSent:
-		x.abortResponse(cause)
+		x.cause = cause
+		x.logEnd(nil)
 	case x.failedResponse != nil:
 		x.deliver(*x.failedResponse, cause)
 	case !x.mayHaveRun && cause != CauseDeadline:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -354,9 +354,13 @@
 	x.deadline = x.arrived
 	if s.cfg.MaxInFlight > 0 && inFlight > s.cfg.MaxInFlight {
 		x.refuse(CauseNodeBusy)
-		return
+	} else {
+		x.serve()
+	}
+	if !x.complete {
+		// After a plain return, net/http would end the response like a finished one.
+		panic(http.ErrAbortHandler)
 	}
-	x.serve()
 }
 
 // Entries returns the addresses at which callers reach the entry nodes that are up
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -132,6 +132,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write([]byte(body))
+	x.complete = true
 	x.logEnd(nil)
 }
 
@@ -146,6 +147,7 @@
 	}
 	x.w.WriteHeader(response.status)
 	_, err := x.w.Write(response.body)
+	x.complete = err == nil
 	x.s.observeFirstByte(x)
 	x.logEnd(err)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,6 +52,7 @@
 				x.beginStream(in)
 			}
 			x.attemptEnded(placed, placement.OutcomeOK)
+			x.complete = true
 			x.logEnd(nil)
 			return resultDelivered, nil
 		}
@@ -88,14 +89,6 @@
 	return true
 }
 
-// abortResponse closes the caller's connection in the middle of a response that cannot be
-// completed, so that it does not look complete.
-func (x *exchange) abortResponse(cause Cause) {
-	x.cause = cause
-	x.logEnd(nil)
-	panic(http.ErrAbortHandler)
-}
-
 var (
 	// errUnfinishedEvent means that a stream ended inside an event. Only an instance that has
 	// crashed ends it there, even if the response is framed as complete.
