A broken stream is reset for callers without chunks

What an HTTP/1.0 caller could see, such as a proxy with that version towards its servers: a stream that broke ended like a whole one.

Change: the connection of an exchange that is not complete is reset if the caller has no chunks. The wrapper of the limited listener passes the option on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -359,7 +359,7 @@
 	}
 	if !x.complete {
 		// After a plain return, net/http would end the response like a finished one.
-		panic(http.ErrAbortHandler)
+		abort(r)
 	}
 }
 
--- a/node/listener.go
+++ b/node/listener.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,15 @@
 	once sync.Once
 }
 
+// SetLinger is like that of net.TCPConn.
+func (c *limitedConn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { c.open.Add(-1) })
--- a/node/listener_test.go
+++ b/node/listener_test.go
@@ -63,3 +63,35 @@
 		t.Error("got a connection beyond the limit open after a double close, want it closed")
 	}
 }
+
+// TestLimitedConnResets checks that a reset reaches the peer through the wrapper of the listener.
+func TestLimitedConnResets(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &limitedListener{
+		Listener: inner,
+		limit:    1,
+		log:      event.New(io.Discard, "n1"),
+	}
+	defer func() { _ = listener.Close() }()
+	peer, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*limitedConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peer.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Errorf("got %v, want a reset", err)
+	}
+}
