--- a/entry/chat.go
+++ b/entry/chat.go
@@ -394,8 +394,7 @@
 		r.release(0)
 	}
 	if r.ctx.Err() != nil {
-		r.record("")
-		return nil
+		r.abandon()
 	}
 	return r.sendRefusal(refusal)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -164,6 +164,13 @@
 	return r.write(x.c)
 }
 
+// abandon ends an exchange whose caller has disconnected. It closes the connection: after a plain
+// return, net/http would end the response like a finished one.
+func (x *exchange) abandon() {
+	x.record("")
+	panic(http.ErrAbortHandler)
+}
+
 // record counts the exchange in the burn report.
 func (x *exchange) record(cause burn.Cause) {
 	if x.access.Workspace == "" {
--- a/entry/service.go
+++ b/entry/service.go
@@ -158,8 +158,7 @@
 			return r.billAndRespond(response)
 		}
 		if r.ctx.Err() != nil {
-			r.record("")
-			return nil
+			r.abandon()
 		}
 		last = err
 		mayHaveRun = mayHaveRun || !certainlyNotRun(err)
