--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -180,7 +180,7 @@
 		return resultNotSent, err
 	}
 	if !replaced && brokenByInstance(err) {
-		x.engineCrashed(placed)
+		x.instanceCrashed(placed)
 	}
 	return resultInDoubt, err
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -88,7 +88,7 @@
 	// eventsBefore is the number of events delivered before the attempt.
 	responseBegun bool
 	eventsBefore  int
-	// brokenStarts counts the engines that broke off this request before its first event.
+	// brokenStarts counts the instances that broke off this request before its first event.
 	brokenStarts int
 	// lastInstance, status and cause are logged when the request ends.
 	lastInstance fleet.BackendServerID
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -12,7 +12,7 @@
 	"github.com/waxwingreel/waxwingreel/quarantine"
 )
 
-// maxBrokenStarts limits the engines that may break off one request before its first event. The
+// maxBrokenStarts limits the instances that may break off one request before its first event. The
 // request may be why.
 const maxBrokenStarts = 2
 
@@ -61,11 +61,8 @@
 	return !silent && !errors.Is(err, errBuffersFull) && !errors.As(err, &oversize)
 }
 
-// engineCrashed records that an engine broke off the response of the current attempt.
-func (x *exchange) engineCrashed(placed *placement.Assignment) {
-	if x.service.Engine == nil {
-		return
-	}
+// instanceCrashed records that an instance broke off the response of the current attempt.
+func (x *exchange) instanceCrashed(placed *placement.Assignment) {
 	crash := quarantine.Crash{
 		Service: x.service.ID,
 		Engine:  placed.Instance.ID,
@@ -76,7 +73,9 @@
 		x.brokenStarts++
 		x.s.cfg.Metrics.Count("starts_broken")
 	}
-	x.s.quarantine.Crashed(crash, clock.SinceBoot())
+	if x.service.Engine != nil {
+		x.s.quarantine.Crashed(crash, clock.SinceBoot())
+	}
 }
 
 // engineCompleted records a complete response of an engine.
@@ -86,13 +85,16 @@
 	}
 }
 
-// suspect reports whether the request may be why engines have crashed, so that no other may get
+// suspect reports whether the request may be why instances have crashed, so that no other may get
 // it.
 func (x *exchange) suspect() bool {
-	if x.brokenStarts == 0 {
+	switch {
+	case x.brokenStarts == 0:
 		return false
+	case x.brokenStarts >= maxBrokenStarts:
+		return true
 	}
-	return x.brokenStarts >= maxBrokenStarts || !x.s.quarantine.MayRepeat(x.service.ID, x.request.Parts)
+	return x.service.Engine != nil && !x.s.quarantine.MayRepeat(x.service.ID, x.request.Parts)
 }
 
 // retryAfterSuspension returns the retry delay of a request with a suspended part.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -119,7 +119,7 @@
 // engine after the other crashes. A node that is on its own finds it too.
 func TestRequestsWithDeadlyPartCrashEngineAfterEngine(t *testing.T) {
 	engines := startFragileEngines(t, 8)
-	url := serveEngines(t, engines)
+	url := serveInstances(t, engines, &routing.Engine{})
 	shared := "subject:100,"
 	for i := range 8 {
 		id := strconv.Itoa(i)
@@ -145,23 +145,30 @@
 }
 
 // TestRequestEndsServerAfterServer guards against a single request that is sent on each time that
-// an engine breaks it off: at most two may crash.
+// an instance breaks it off: at most two may crash.
 func TestRequestEndsServerAfterServer(t *testing.T) {
-	engines := startFragileEngines(t, 8)
-	url := serveEngines(t, engines)
-	response := ask(t, url, "deadly", "dead:10,own:5")
-	if got, want := response.StatusCode, http.StatusBadGateway; got != want {
-		t.Errorf("got status %d, want %d", got, want)
-	}
-	engines.mu.Lock()
-	defer engines.mu.Unlock()
-	if got, limit := engines.arrivals["deadly"], 2; got > limit {
-		t.Errorf("got the request at %d engines, want at most %d", got, limit)
+	for name, engine := range map[string]*routing.Engine{
+		"engines":       {},
+		"plain service": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := startFragileEngines(t, 8)
+			response := ask(t, serveInstances(t, engines, engine), "deadly", "dead:10,own:5")
+			if got, want := response.StatusCode, http.StatusBadGateway; got != want {
+				t.Errorf("got status %d, want %d", got, want)
+			}
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			if got, limit := engines.arrivals["deadly"], 2; got > limit {
+				t.Errorf("got the request at %d instances, want at most %d", got, limit)
+			}
+		})
 	}
 }
 
-// serveEngines returns the address of a gateway with a resumable route to the engines.
-func serveEngines(t *testing.T, engines *fragileEngines) string {
+// serveInstances returns the address of a gateway with a resumable route to the instances. The
+// engine is nil for a plain service.
+func serveInstances(t *testing.T, engines *fragileEngines, engine *routing.Engine) string {
 	t.Helper()
 	s := gateway.New(gateway.Config{
 		Node:       "n1",
@@ -186,7 +193,7 @@
 		}},
 		Services: []routing.Service{{
 			ID:     "s",
-			Engine: &routing.Engine{},
+			Engine: engine,
 		}},
 	}))
 	s.SetInstances(engines.list)
