A chat or call on which two backend servers crashed goes to no third

Connections that the server closes or resets are now told apart from those that are silent, and two of them before the first token end the request.

--- a/backend/client.go
+++ b/backend/client.go
@@ -112,7 +112,7 @@
 // requestError wraps the error of a request that got no response. Only a request that
 // got no connection is known not to have run.
 func (c *Client) requestError(step string, tracker *sendTracker, err error) error {
-	kind := ErrInterrupted
+	kind := interrupted(err)
 	if !tracker.connected.Load() {
 		kind = ErrNotRun
 	}
@@ -281,7 +281,7 @@
 		select {
 		case chunk, ok := <-s.chunks:
 			if !ok {
-				return Chunk{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the stream: %v", s.client.id, s.err)
+				return Chunk{}, eris.Wrapf(interrupted(s.err), "backend server %s: read the stream: %v", s.client.id, s.err)
 			}
 			if s.accept(chunk) {
 				return chunk, nil
@@ -450,7 +450,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
-		return CallResponse{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the response: %v", c.id, err)
+		return CallResponse{}, eris.Wrapf(interrupted(err), "backend server %s: read the response: %v", c.id, err)
 	}
 	if len(body) > maxResponseBytes {
 		return CallResponse{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the response: body exceeds %d bytes", c.id, maxResponseBytes)
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -3,6 +3,10 @@
 package backend
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -164,6 +168,8 @@
 	// ErrInterrupted means that the response was incomplete or missing, or had a
 	// status that leaves open whether the request ran. The server may have run it.
 	ErrInterrupted = eris.New("response is incomplete or missing")
+	// ErrCrashed is the ErrInterrupted of a server that closed or reset the connection.
+	ErrCrashed = fmt.Errorf("%w: the server closed the connection", ErrInterrupted)
 	// ErrRejected means that the server responded with a 4xx status, since the request
 	// is invalid.
 	ErrRejected = eris.New("server rejected the request")
@@ -178,3 +184,13 @@
 	stallProbeInterval = 1500 * time.Millisecond
 	probeTimeout       = time.Second
 )
+
+// interrupted returns the kind of a failure after a request was sent.
+func interrupted(cause error) error {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
+		if errors.Is(cause, closed) {
+			return ErrCrashed
+		}
+	}
+	return ErrInterrupted
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -206,6 +206,7 @@
 			}
 			return refusal
 		}
+		delivered := r.deliveredTokens
 		err := r.attempt(assigned, attempt)
 		if err == nil {
 			return nil
@@ -219,6 +220,9 @@
 			return last
 		}
 		r.request.Avoid = append(r.request.Avoid, assigned.server.ID)
+		if r.crashed(err, r.deliveredTokens > delivered) {
+			break
+		}
 	}
 	return r.attemptsFailed(last, mayHaveRun)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/labstack/echo/v5"
+	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/admission"
+	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
@@ -32,6 +34,8 @@
 	body         []byte
 	class        fleet.Class
 	arrived      time.Duration
+	// crashes counts the backend servers that crashed on the request before they responded.
+	crashes int
 	// reserved is the quota reserved for the request.
 	reserved fleet.Tokens
 
@@ -164,6 +168,18 @@
 	return r.write(x.c)
 }
 
+// maxCrashes is the number of backend servers that may crash on one request. The request may be why.
+const maxCrashes = 2
+
+// crashed records the error of an attempt and reports whether no other backend server may get the
+// request. An attempt that has begun to respond shows that the request itself is sound.
+func (x *exchange) crashed(err error, begun bool) bool {
+	if !begun && eris.Is(err, backend.ErrCrashed) {
+		x.crashes++
+	}
+	return x.crashes >= maxCrashes
+}
+
 // abandon ends an exchange whose caller has disconnected. It closes the connection: after a plain
 // return, net/http would end the response like a finished one.
 func (x *exchange) abandon() {
--- a/entry/service.go
+++ b/entry/service.go
@@ -163,6 +163,9 @@
 		last = err
 		mayHaveRun = mayHaveRun || !certainlyNotRun(err)
 		r.request.Avoid = append(r.request.Avoid, assigned.server.ID)
+		if r.crashed(err, false) {
+			break
+		}
 	}
 	return r.refuse(failedCall(last, mayHaveRun))
 }
