--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -203,13 +203,14 @@
 	if update.Delta != nil && c.applyDelta(*update.Delta) {
 		c.storeConfiguration()
 	}
+	// A node that has just started must know the suspended parts before it serves requests.
+	if watcher := c.watcher.Load(); watcher != nil && update.Quarantine != nil {
+		(*watcher).HandleQuarantine(*update.Quarantine)
+	}
 	c.applyRouting(update)
 	if len(update.Roster) > 0 {
 		c.applyRoster(update.Roster, known)
 	}
-	if watcher := c.watcher.Load(); watcher != nil && update.Quarantine != nil {
-		(*watcher).HandleQuarantine(*update.Quarantine)
-	}
 	handler := c.handler.Load()
 	if handler == nil {
 		return
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -180,6 +180,9 @@
 		return fmt.Sprintf("instance %v ran it and failed", end.Fields["instance"])
 	case gateway.CauseInstanceBusy:
 		return "every instance that was tried refused it for lack of capacity; it has not run"
+	case gateway.CausePartSuspended:
+		return fmt.Sprintf("engines had crashed on part %v of its prompt, which is suspended for %v ms more; it was not sent to another engine",
+			end.Fields["suspendedPart"], end.Fields["suspendedMillis"])
 	case gateway.CauseNodeBusy:
 		return "its node had as many requests in flight as its memory allows; it has not run"
 	case gateway.CauseNoInstance:
@@ -224,6 +227,7 @@
 	event.ListUnreadable:   true,
 	event.ListReadable:     true,
 	event.LinesDropped:     true,
+	event.PartJudged:       true,
 }
 
 func describeNodeState(lines []Line, node string, from, to time.Time) []string {
@@ -234,7 +238,7 @@
 			continue
 		}
 		text := fmt.Sprintf("%s %v", line.Time.Format("15:04:05.000"), line.Fields["message"])
-		for _, field := range []string{"replica", "error", "version"} {
+		for _, field := range []string{"replica", "error", "version", "part", "state"} {
 			if value, ok := line.Fields[field]; ok && value != nil {
 				text += fmt.Sprintf(", %s %v", field, value)
 			}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// TestSuspendedPart checks that a refusal for a suspended part names it, and the suspension.
+func TestSuspendedPart(t *testing.T) {
+	const log = `{"time":"2026-06-21T05:08:15.000Z","node":"n1","event":507,"service":"s","part":"12ca","state":"suspended","message":"a suspension of a part of prompts has begun or ended"}
+{"time":"2026-06-21T05:08:16.000Z","node":"n1","event":406,"request":"r","status":503,"cause":"partSuspended","suspendedPart":"12ca","suspendedMillis":29000}
+`
+	lines, err := explain.Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	explanation, err := explain.Request("r", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"crashed on part 12ca", "29000 ms", "part 12ca, state suspended"} {
+		if got := explanation.Text(); !strings.Contains(got, want) {
+			t.Errorf("got %q, want it to contain %q", got, want)
+		}
+	}
+}
+
 func readLog(t *testing.T) []explain.Line {
 	t.Helper()
 	file, err := os.Open("../examples/logs/incident.log")
