--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -185,12 +185,22 @@
 	probeTimeout       = time.Second
 )
 
-// interrupted returns the kind of a failure after a request was sent.
-func interrupted(cause error) error {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
+// ClosedByServer reports whether the cause of a failure is that the server closed or reset the
+// connection, as a process that crashes does. A silent connection, a deadline and bytes that are no
+// response are other failures.
+func ClosedByServer(cause error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(cause, closed) {
-			return ErrCrashed
+			return true
 		}
 	}
+	return false
+}
+
+// interrupted returns the kind of a failure after a request was sent.
+func interrupted(cause error) error {
+	if ClosedByServer(cause) {
+		return ErrCrashed
+	}
 	return ErrInterrupted
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,6 +63,7 @@
 	defer stopTimer()
 	x.lastInstance = placed.Instance.ID
 	x.responseBegun = false
+	x.unfinishedBytes = 0
 	x.eventsBefore = x.events
 	out := x.outgoingRequest(placed.Instance)
 	out.Revoked = func() bool { return !x.s.dispatch.stillAvailable(x.service.ID, placed) }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/backend"
@@ -56,9 +55,7 @@
 // brokenByInstance reports whether an instance broke off a response, rather than the network or
 // this node, which does so at a limit.
 func brokenByInstance(err error) bool {
-	oversize, netErr := (*backend.OversizeError)(nil), net.Error(nil)
-	silent := errors.As(err, &netErr) && netErr.Timeout()
-	return !silent && !errors.Is(err, errBuffersFull) && !errors.As(err, &oversize)
+	return backend.ClosedByServer(err) || errors.Is(err, errUnfinishedEvent) || errors.Is(err, errNoEvents)
 }
 
 // instanceCrashed records that an instance broke off the response of the current attempt.
--- a/quarantine/monitor.go
+++ b/quarantine/monitor.go
@@ -77,8 +77,8 @@
 // NewMonitor returns a monitor without evidence.
 func NewMonitor(cfg MonitorConfig) *Monitor {
 	return &Monitor{
-		broken:   map[fleet.BackendServerID]time.Duration{},
 		cfg:      cfg,
+		broken:   map[fleet.BackendServerID]time.Duration{},
 		sound:    map[Key]time.Duration{},
 		reported: map[Key]time.Duration{},
 		notices:  map[Key]heldNotice{},
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -155,6 +155,13 @@
 	t.changes++
 }
 
+// judgePart applies what is due for one part.
+func (t *Table) judgePart(key Key, now time.Duration) {
+	if r, ok := t.records[key]; ok {
+		t.judge(r, now)
+	}
+}
+
 // judge starts to watch or suspends a part, if the crashes call for it.
 func (t *Table) judge(r *record, now time.Duration) {
 	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now-c.at > max(crashTTL, 3*r.period) })
@@ -231,7 +238,7 @@
 // knows more of the part.
 func (t *Table) Adopt(n Notice, now time.Duration) {
 	r := t.record(n.Key, now)
-	if r == nil || n.State != StateSuspended || r.period > 0 || r.soundAt > 0 {
+	if r == nil || n.State != StateSuspended || r.period > 0 || r.releasedAt > 0 {
 		return
 	}
 	r.period = min(millis(n.PeriodMillis), maxPeriod)
@@ -290,10 +297,3 @@
 	}
 	return 0
 }
-
-// judgePart applies what is due for one part.
-func (t *Table) judgePart(key Key, now time.Duration) {
-	if r, ok := t.records[key]; ok {
-		t.judge(r, now)
-	}
-}
