--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -43,7 +44,7 @@
 	later map[time.Duration][]func()
 	// downUntil has the time until which each engine is down, flights the requests at it.
 	downUntil []time.Duration
-	flights   []map[*flight]bool
+	flights   [][]*flight
 
 	deadlyCrashes []time.Duration
 	arrivals      []time.Duration
@@ -59,6 +60,7 @@
 	deadly bool
 	begun  bool
 	events bool
+	ended  bool
 }
 
 func newSimulation(t *testing.T, nodes, engines int, seed uint64) *simulation {
@@ -69,6 +71,7 @@
 		sent:      make([]uint64, nodes),
 		later:     map[time.Duration][]func(){},
 		downUntil: make([]time.Duration, engines),
+		flights:   make([][]*flight, engines),
 		now:       time.Hour,
 	}
 	for n := range nodes {
@@ -77,9 +80,6 @@
 			Notify: func() { s.notified[n] = true },
 		}))
 	}
-	for range engines {
-		s.flights = append(s.flights, map[*flight]bool{})
-	}
 	return s
 }
 
@@ -122,19 +122,19 @@
 	if deadly {
 		s.arrivals = append(s.arrivals, s.now)
 	}
-	s.flights[f.engine][f] = true
+	s.flights[f.engine] = append(s.flights[f.engine], f)
 	s.after(s.between(50*time.Millisecond, 500*time.Millisecond), func() { s.begin(f) })
 }
 
 // begin lets the engine begin its response, on which it crashes if the request is deadly.
 func (s *simulation) begin(f *flight) {
-	if !s.flights[f.engine][f] {
+	if f.ended {
 		return
 	}
 	f.begun = true
 	if f.deadly {
 		s.after(20*time.Millisecond, func() {
-			if s.flights[f.engine][f] {
+			if !f.ended {
 				s.deadlyCrashes = append(s.deadlyCrashes, s.now)
 				s.crash(f.engine)
 			}
@@ -143,8 +143,8 @@
 	}
 	s.after(30*time.Millisecond, func() { f.events = true })
 	s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() {
-		if s.flights[f.engine][f] {
-			delete(s.flights[f.engine], f)
+		if !f.ended {
+			s.end(f)
 			s.nodes[f.node].Completed("s", f.parts, s.now)
 		}
 	})
@@ -153,14 +153,20 @@
 // crash ends an engine and all requests at it.
 func (s *simulation) crash(engine int) {
 	s.downUntil[engine] = s.now + downtime
-	for f := range s.flights[engine] {
+	for _, f := range slices.Clone(s.flights[engine]) {
 		s.breakOff(f)
 	}
 }
 
+// end removes a request from its engine.
+func (s *simulation) end(f *flight) {
+	f.ended = true
+	s.flights[f.engine] = slices.DeleteFunc(s.flights[f.engine], func(other *flight) bool { return other == f })
+}
+
 // breakOff ends a request. Its node sees only that the connection has ended.
 func (s *simulation) breakOff(f *flight) {
-	delete(s.flights[f.engine], f)
+	s.end(f)
 	crash := quarantine.Crash{
 		Service: "s",
 		Engine:  fleet.BackendServerID("e" + strconv.Itoa(f.engine)),
@@ -182,7 +188,7 @@
 	case "cuts":
 		node := s.rng.IntN(len(s.nodes))
 		for engine := range s.flights {
-			for f := range s.flights[engine] {
+			for _, f := range slices.Clone(s.flights[engine]) {
 				if f.node == node {
 					s.breakOff(f)
 				}
