Soak: answers without length or chunks, half of the streams broken off inside an event

The callers of the soak already checked that no stream ends as complete before its last event, but no instance ended one that way.

--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -197,6 +197,8 @@
 		return false
 	case behaviourEndlessHead, behaviourEndlessBody, behaviourDrip:
 		return in.sendEndless(conn, head, mode)
+	case behaviourUnframed:
+		return in.sendUnframed(conn, r, head, run)
 	}
 	if in.service == engineService {
 		return in.stream(conn, r, head, run, mode)
@@ -213,6 +215,11 @@
 	return send("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text)
 }
 
+// streamEvent returns one event of the stream that answers a request.
+func streamEvent(r *http.Request, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, r.Header.Get("Attempt-Id"), number)
+}
+
 // stream sends the events after the last one that the caller received.
 func (in *instance) stream(conn net.Conn, r *http.Request, head string, run *execution, mode int32) bool {
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
@@ -221,7 +228,7 @@
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := first + 1; i <= streamEvents; i++ {
 		time.Sleep(eventInterval)
-		text := fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, r.Header.Get("Attempt-Id"), i)
+		text := streamEvent(r, i)
 		if mode == behaviourTruncate && i == streamEvents/2 {
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(text), text[:8])
 			return false
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -21,6 +22,9 @@
 	behaviourEndlessHead
 	behaviourEndlessBody
 	behaviourDrip
+	// behaviourUnframed sends answers without length or chunks, and breaks off half of the streams
+	// inside an event by ending the connection in the usual way.
+	behaviourUnframed
 	troublesEnd
 )
 
@@ -92,6 +96,30 @@
 	return false
 }
 
+// sendUnframed sends an answer that extends to the end of its connection.
+func (in *instance) sendUnframed(conn net.Conn, r *http.Request, head string, run *execution) bool {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"\r\n")
+	if in.service == plainService {
+		_, _ = io.WriteString(conn, responseBody(r.Header.Get("Attempt-Id"), r.URL.RequestURI()))
+		return false
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	breaks := first == 0 && len(r.URL.RequestURI())%2 == 0
+	for i := first + 1; i <= streamEvents; i++ {
+		time.Sleep(eventInterval)
+		text := streamEvent(r, i)
+		if breaks && i == streamEvents/2 {
+			_, _ = io.WriteString(conn, text[:8])
+			return false
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return false
+		}
+		in.h.audit.recordEvent(run)
+	}
+	return false
+}
+
 // sendTwice sends an answer, and its copy later.
 func sendTwice(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
