--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// TestGarbageIsNoCrash guards against the suspension of a part because engines send bytes that are
+// no response: they run on, and are at fault themselves.
+func TestGarbageIsNoCrash(t *testing.T) {
+	in := newInstances(t, strings.Repeat("garbage ", 40))
+	url := serveInstances(t, &fragileEngines{list: in.list}, &routing.Engine{})
+	for i := range 8 {
+		response := ask(t, url, "r"+strconv.Itoa(i), "subject:100,own"+strconv.Itoa(i)+":5")
+		if got, want := response.StatusCode, http.StatusServiceUnavailable; got == want {
+			t.Fatalf("request %d: got status %d, want it sent", i, got)
+		}
+		time.Sleep(160 * time.Millisecond)
+	}
+}
+
 // serveInstances returns the address of a gateway with a resumable route to the instances. The
 // engine is nil for a plain service.
 func serveInstances(t *testing.T, engines *fragileEngines, engine *routing.Engine) string {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -124,3 +124,19 @@
 		t.Errorf("got %+v first, want the suspended part", got)
 	}
 }
+
+// TestSuspensionIsAdoptedAfterLongSoundPart guards against a replica that drops the suspension of a
+// part which it has seen work before the crashes.
+func TestSuspensionIsAdoptedAfterLongSoundPart(t *testing.T) {
+	table, now := quarantine.Table{}, time.Hour
+	table.Add(quarantine.Evidence{
+		Service: "s",
+		Parts:   []quarantine.Suspect{{Part: "deadly"}},
+	}, now)
+	notice := suspension(20 * time.Second).Notices[0]
+	table.Adopt(notice, now+time.Second)
+	notices := table.Notices(now + time.Second)
+	if len(notices) != 1 || notices[0].State != quarantine.StateSuspended {
+		t.Errorf("got %+v, want the suspension", notices)
+	}
+}
