Log the limits that instances name

The adapter reads the header now, and event 508 says when a limit begins, ends or changes by more than a tenth. Nothing obeys it yet.

--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,7 @@
 	InstanceFull      ID = 505
 	ResponseOversized ID = 506
 	PartJudged        ID = 507
+	InstanceLimited   ID = 508
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -244,9 +244,12 @@
 	d.Do(func() { d.forecast(service).Finish(p, outcome, clock.SinceBoot()) })
 }
 
-// responseRead applies what the header of a response says of its instance: that it leaves, or
-// that it takes no requests for some time.
+// responseRead applies what the header of a response says of its instance: that it leaves, that
+// it takes no requests for some time, or how many it takes.
 func (d *dispatcher) responseRead(service fleet.ServiceID, p *placement.Assignment, r Response) {
+	if !r.OtherInstance {
+		d.limitRead(service, p, r)
+	}
 	if !r.Leaving && r.RetryAfter == 0 {
 		return
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -55,6 +55,12 @@
 	// RetryAfter is the time for which the instance takes no requests from this node, 0 if it
 	// did not refuse the request or named no time.
 	RetryAfter time.Duration
+	// Limit is the rate at which the instance takes requests from all nodes together, nil if it
+	// names none.
+	Limit *routing.Rate
+	// LimitUnreadable is set if the response names a limit that cannot be read. It says neither
+	// what the limit is nor that there is none.
+	LimitUnreadable bool
 	// Load is the instance's load, nil if not reported.
 	Load *Load
 }
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -26,6 +26,9 @@
 	leaving bool
 	// fullUntil is when the instance takes requests again, as it said when it refused one.
 	fullUntil time.Duration
+	// limit is nil if the instance named none in its latest response.
+	limit            *Limit
+	unreadableLimits int
 	// absentSince is when the instance left the list, negative while it is listed.
 	absentSince time.Duration
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -20,6 +20,9 @@
 	Tokens fleet.Tokens `json:"tokens"`
 }
 
+// Rate is a number of requests a second.
+type Rate float64
+
 // Request holds the fields of a routed request besides method, path and body.
 type Request struct {
 	ID  RequestID
