Hold the fleet to the limits that instances name

The class: a limit that belongs to the whole fleet, while each node decides by what it sees itself.

An owner among the entry nodes issues a permit for each request to a limited instance (package ratelimit). A node that gets none uses the other instances; if there are none, the caller is refused at once with the time until there may be a permit. An owner that loses the control group issues nothing; nodes without an owner have half of the limit together. Limits reach all nodes with heartbeats and updates of the control replicas, so that hundreds of nodes need not be told one by one. Every attempt passes the same place: retries, resumed streams, replacements and trials after a quarantine.

--- a/control/group.go
+++ b/control/group.go
@@ -211,6 +211,7 @@
 func (r *Replica) sendAnnouncements(now time.Duration) {
 	if now-r.lastMarkedDead >= tickInterval {
 		r.lastMarkedDead = now
+		r.limits.Advance(now)
 		if changed := r.quarantine.Advance(now); r.table.MarkDead(now) || changed {
 			r.notify(effects{nodes: true})
 		}
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -8,6 +8,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/quarantine"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -24,6 +25,9 @@
 	// MethodEvidence sends the evidence of an entry node, a []quarantine.Evidence, to another
 	// replica.
 	MethodEvidence wire.Method = "evidence"
+	// MethodLimits sends what an entry node knows of limits, a []ratelimit.Report, to another
+	// replica.
+	MethodLimits wire.Method = "limits"
 	// MethodSubmit submits a Command and returns a SubmitResponse.
 	MethodSubmit wire.Method = "submit"
 	// MethodQuery sends a Query and returns a QueryResponse.
@@ -139,6 +143,9 @@
 	// replica that was out of reach or has started since.
 	Evidence  []quarantine.Evidence `json:"evidence,omitempty"`
 	Suspended []quarantine.Notice   `json:"suspended,omitempty"`
+	// Limits has what responses to the node have newly said of limits. The first heartbeat of a
+	// subscription has all that the node knows from responses.
+	Limits []ratelimit.Report `json:"limits,omitempty"`
 }
 
 // Update is sent by a control replica to an entry node. Parts that have not changed
@@ -156,6 +163,8 @@
 	Recalls   []ledger.Recall `json:"recalls,omitempty"`
 	// Quarantine has the parts of prompts that are watched or suspended.
 	Quarantine *quarantine.List `json:"quarantine,omitempty"`
+	// Limits has the limits that instances name.
+	Limits *ratelimit.List `json:"limits,omitempty"`
 	// EndedHolders lists the ended holders that the node has not confirmed yet.
 	EndedHolders []fleet.Holder `json:"ending,omitempty"`
 	// Ended is set if this incarnation of the node has ended in the ledger: a later
--- a/control/replica.go
+++ b/control/replica.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/quarantine"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -98,6 +99,8 @@
 	table   *roster.Table
 	// quarantine judges the parts of prompts on which engines have crashed.
 	quarantine quarantine.Table
+	// limits has what entry nodes know of the limits of instances.
+	limits ratelimit.Table
 
 	peers map[fleet.NodeID]Announcement
 	// peerAnnouncedAt is when the latest announcement of each peer arrived.
--- a/control/serve.go
+++ b/control/serve.go
@@ -12,6 +12,7 @@
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/orders"
 	"github.com/waxwingreel/waxwingreel/quarantine"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -59,6 +60,12 @@
 			r.do(func() { r.applyEvidence(evidence, nil) })
 		}
 	})
+	endpoint.HandleMessage(MethodLimits, func(_ fleet.NodeID, body []byte) {
+		var reports []ratelimit.Report
+		if wire.Decode(body, &reports) == nil {
+			r.do(func() { r.applyLimits(reports) })
+		}
+	})
 	endpoint.HandleCall(MethodSubmit, func(ctx context.Context, _ fleet.NodeID, body []byte) (any, error) {
 		command := Command{}
 		if err := wire.Decode(body, &command); err != nil {
@@ -164,8 +171,10 @@
 	rosterNumber    uint64
 	// quarantineNumber counts the changes of the quarantine up to the list that was last sent.
 	quarantineNumber uint64
-	recalls          chan []ledger.Recall
-	sendFull         bool
+	// limitsNumber counts the changes of limits up to the list that was last sent.
+	limitsNumber uint64
+	recalls      chan []ledger.Recall
+	sendFull     bool
 }
 
 // serveSubscriber receives an entry node's heartbeats and sends updates to it.
@@ -227,6 +236,10 @@
 			r.applyEvidence(heartbeat.Evidence, heartbeat.Suspended)
 			r.passOnEvidence(heartbeat.Evidence)
 		}
+		if len(heartbeat.Limits) > 0 {
+			r.applyLimits(heartbeat.Limits)
+			r.passOnLimits(heartbeat.Limits)
+		}
 	})
 }
 
@@ -255,6 +268,24 @@
 	}
 }
 
+// applyLimits records what an entry node knows of limits.
+func (r *Replica) applyLimits(reports []ratelimit.Report) {
+	now, before := clock.SinceBoot(), r.limits.Changes()
+	for _, report := range reports {
+		r.limits.Apply(report, now)
+	}
+	if r.limits.Changes() != before {
+		r.notify(effects{nodes: true})
+	}
+}
+
+// passOnLimits sends reports of limits to the other replicas, each for its own entry nodes.
+func (r *Replica) passOnLimits(reports []ratelimit.Report) {
+	for _, a := range r.peers {
+		r.cfg.Endpoint.Send(a.Address, MethodLimits, reports)
+	}
+}
+
 func (r *Replica) sendUpdates(ctx context.Context, s *subscriber, ch *wire.Channel) {
 	ticker := time.NewTicker(updateInterval)
 	defer ticker.Stop()
@@ -319,6 +350,10 @@
 		update.Quarantine = &quarantine.List{Notices: r.quarantine.Notices(now)}
 		s.quarantineNumber = number
 	}
+	if number := r.limits.Changes(); s.limitsNumber != number {
+		update.Limits = &ratelimit.List{Reports: r.limits.Reports(now)}
+		s.limitsNumber = number
+	}
 	update.Recalls = s.drainRecalls()
 	if s.sendFull {
 		s.sendFull = false
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/quarantine"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -80,6 +81,11 @@
 	// TakeEvidence returns what the node has observed of parts of prompts since the last call.
 	// The argument is true for the first heartbeat of a subscription.
 	TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice)
+	// HandleLimits is called with the limits that instances name, whenever they change notably.
+	HandleLimits(list ratelimit.List)
+	// TakeLimits returns what responses to the node have said of limits since the last call. The
+	// argument is true for the first heartbeat of a subscription.
+	TakeLimits(first bool) []ratelimit.Report
 }
 
 // Store stores the configuration across restarts.
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -141,6 +141,7 @@
 		}
 		if watcher := c.watcher.Load(); watcher != nil {
 			heartbeat.Evidence, heartbeat.Suspended = (*watcher).TakeEvidence(first)
+			heartbeat.Limits = (*watcher).TakeLimits(first)
 		}
 		if ch.Send(heartbeat) != nil {
 			return
@@ -203,10 +204,14 @@
 	if update.Delta != nil && c.applyDelta(*update.Delta) {
 		c.storeConfiguration()
 	}
-	// A node that has just started must know the suspended parts before it serves requests.
+	// A node that has just started must know the suspended parts and the limits before it serves
+	// requests.
 	if watcher := c.watcher.Load(); watcher != nil && update.Quarantine != nil {
 		(*watcher).HandleQuarantine(*update.Quarantine)
 	}
+	if watcher := c.watcher.Load(); watcher != nil && update.Limits != nil {
+		(*watcher).HandleLimits(*update.Limits)
+	}
 	c.applyRouting(update)
 	if len(update.Roster) > 0 {
 		c.applyRoster(update.Roster, known)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -66,7 +66,7 @@
 	x.unfinishedBytes = 0
 	x.eventsBefore = x.events
 	out := x.outgoingRequest(placed.Instance)
-	out.Revoked = func() bool { return !x.s.dispatch.stillAvailable(x.service.ID, placed) }
+	out.Revoked = func() bool { return !x.s.dispatch.maySend(x.service.ID, placed, x.permitted) }
 	in, err := x.s.conns.Do(ctx, out)
 	if err != nil {
 		sendErr := (*backend.SendError)(nil)
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -135,10 +135,11 @@
 	s.claims.apply(m)
 }
 
-// chooseInstance chooses an instance. For a prompt it claims the engine at its owner,
-// and chooses again if the claims of other nodes make another engine the better choice.
-func (x *exchange) chooseInstance(request placement.ForecastRequest) (placed *placement.Assignment, listAge time.Duration, ok bool) {
-	placed, listAge, ok = x.s.dispatch.pick(x.service.ID, request, x.attempts+x.failedConnects == 0)
+// claimInstance chooses an instance. For a prompt it claims the engine at its owner, and chooses
+// again if the claims of other nodes make another engine the better choice.
+func (x *exchange) claimInstance(request placement.ForecastRequest) (placed *placement.Assignment, listAge time.Duration, ok bool) {
+	placed, listAge, ok = x.s.dispatch.pick(x.service.ID, request, !x.counted)
+	x.counted = true
 	if !ok || x.service.Engine == nil || request.Prompt == 0 {
 		return placed, listAge, ok
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/loop"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/retry"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -38,6 +39,10 @@
 	listedAt     time.Duration
 	// entryNodes is the number of nodes that share the retry budgets.
 	entryNodes int
+	// limitReports are the latest reports of other nodes on limits. They are applied again to each
+	// new list, since an instance may be listed after the report on it has come.
+	limitReports   []ratelimit.Report
+	limitsReceived time.Duration
 }
 
 type dispatchConfig struct {
@@ -50,7 +55,9 @@
 	// service.
 	idleConnLimit func(fleet.ServiceID) int
 	conns         *backend.ConnPool
-	log           *event.Log
+	// tellLimit passes what a response says of a limit on to other nodes. It must not block.
+	tellLimit func(ratelimit.Report, fleet.DataCentre)
+	log       *event.Log
 }
 
 func newDispatcher(cfg dispatchConfig) *dispatcher {
@@ -90,6 +97,7 @@
 		for service, instances := range byService {
 			d.forecast(service).SetInstances(instances, now)
 		}
+		d.applyLimitReports()
 		d.cfg.conns.SetIdleLimits(current)
 	})
 }
@@ -282,9 +290,10 @@
 	return wait
 }
 
-// stillAvailable reports whether an instance that was chosen before may still be sent a request.
-func (d *dispatcher) stillAvailable(service fleet.ServiceID, p *placement.Assignment) bool {
-	available := false
-	d.DoAndWait(func() { available = d.forecast(service).Available(p.Instance.ID, clock.SinceBoot()) })
-	return available
+// maySend reports whether an instance that was chosen before may still be sent the request, for which
+// there may be a permit.
+func (d *dispatcher) maySend(service fleet.ServiceID, p *placement.Assignment, permitted bool) bool {
+	may := false
+	d.DoAndWait(func() { may = d.forecast(service).MaySend(p, permitted, clock.SinceBoot()) })
+	return may
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,6 +60,11 @@
 	// how often other nodes' claims led to the choice of another engine.
 	activeClaim   *placement.Claim
 	reassignments int
+	// counted is set once the request counts for the retry budget. permitted is set if the current
+	// attempt has a permit of a limited instance, permitsRefused counts those that were refused.
+	counted        bool
+	permitted      bool
+	permitsRefused int
 	// lastOnConnection is set if the caller must open another connection after this
 	// request.
 	lastOnConnection bool
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -57,6 +57,10 @@
 	list       []routing.Instance
 	// body is what the actions fin and abort send after the header fields of every response.
 	body string
+	// arrivals has the time of each request.
+	arrivals []time.Time
+	// limit is the limit that all responses name, empty for none.
+	limit string
 }
 
 func newInstances(t *testing.T, script string) *scriptedInstances {
@@ -102,6 +106,7 @@
 	}
 	in.requests++
 	in.byInstance[r.Header.Get("Expected-Instance")]++
+	in.arrivals = append(in.arrivals, time.Now())
 	return action
 }
 
@@ -124,6 +129,9 @@
 // open.
 func (in *scriptedInstances) respond(conn net.Conn, r *http.Request, action string) bool {
 	id := "Attempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nInstance-Signature: signed\r\n"
+	if in.limit != "" {
+		id += "Server-Limit: " + in.limit + "\r\n"
+	}
 	send := func(text string) { _, _ = io.WriteString(conn, text) }
 	switch action {
 	case "ok":
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	dispatch     *dispatcher
 	peers        *peers
 	claims       *claimRegistry
+	permits      *permits
 	quarantine   *quarantine.Monitor
 	quotaManager atomic.Pointer[quota.Manager]
 	view         atomic.Pointer[routing.View]
@@ -145,6 +146,7 @@
 		listReadAt: -time.Hour,
 	}
 	s.claims = newClaimRegistry(cfg, s.peers)
+	s.permits = newPermits(cfg, s.claims)
 	s.quarantine = quarantine.NewMonitor(quarantine.MonitorConfig{
 		Trial: func(part routing.PartID) bool {
 			return s.peers.ownerSet().Owner(string(part), "") == cfg.Node
@@ -159,6 +161,7 @@
 		retrySlack:    cfg.RetrySlack,
 		idleConnLimit: s.idleConnLimit,
 		conns:         s.conns,
+		tellLimit:     s.permits.tell,
 		log:           cfg.Log,
 	})
 	return s
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -12,10 +12,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -34,6 +36,10 @@
 	commands int
 	// partitioned is set while no node can reach the ledger.
 	partitioned bool
+	// up are the nodes in the roster, nil for all.
+	up []roster.Report
+	// heartbeats has the nodes that want to send a heartbeat.
+	heartbeats chan fleet.NodeID
 }
 
 // meshControl is the ControlClient of one node.
@@ -48,6 +54,7 @@
 		servers:     map[netip.AddrPort]*Server{},
 		unreachable: map[netip.AddrPort]bool{},
 		ledger:      ledger.New(),
+		heartbeats:  make(chan fleet.NodeID, 16*nodes),
 	}
 	for i := range nodes {
 		m.reports = append(m.reports, roster.Report{
@@ -56,8 +63,8 @@
 				Incarnation: 1,
 			},
 			State:         roster.StateUp,
-			CallerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
-			WireAddress:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 90),
+			CallerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+			WireAddress:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 90),
 		})
 		m.ledger.Join(m.reports[i].Holder)
 	}
@@ -111,8 +118,41 @@
 
 func (c meshControl) Holder() fleet.Holder { return c.holder }
 
-// SendHeartbeat implements ControlClient.
-func (m *mesh) SendHeartbeat() {}
+// SendHeartbeat implements ControlClient. It asks for a call of passOnLimits.
+func (c meshControl) SendHeartbeat() {
+	select {
+	case c.heartbeats <- c.holder.Node:
+	default:
+	}
+}
+
+// passOnLimits takes the place of the control replicas: it passes what responses to a node have said
+// of limits on to all nodes, until the context ends.
+func (m *mesh) passOnLimits(ctx context.Context) {
+	table := ratelimit.Table{}
+	changes := table.Changes()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case node := <-m.heartbeats:
+			for _, report := range m.reports {
+				if report.Holder.Node == node {
+					for _, r := range m.servers[report.WireAddress].TakeLimits(false) {
+						table.Apply(r, clock.SinceBoot())
+					}
+				}
+			}
+		}
+		if changes == table.Changes() {
+			continue
+		}
+		changes = table.Changes()
+		for _, s := range m.servers {
+			s.HandleLimits(ratelimit.List{Reports: table.Reports(clock.SinceBoot())})
+		}
+	}
+}
 
 // ControlReachable implements ControlClient.
 func (m *mesh) ControlReachable() bool {
@@ -122,12 +162,39 @@
 }
 
 // Roster implements ControlClient.
-func (m *mesh) Roster() []roster.Report { return m.reports }
+func (m *mesh) Roster() []roster.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.up != nil {
+		return m.up
+	}
+	return m.reports
+}
+
+// setRoster makes the nodes from first up to but not including last the only ones that are up.
+func (m *mesh) setRoster(first, last int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.up = m.reports[first:last]
+}
+
+// setUnreachable makes a node unresponsive while requests go on.
+func (m *mesh) setUnreachable(address netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unreachable[address] = true
+}
+
+func (m *mesh) isUnreachable(address netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unreachable[address]
+}
 
 // Call implements PeerClient.
 func (m *mesh) Call(ctx context.Context, address netip.AddrPort, method wire.Method, request, response any) error {
 	m.calls.Add(1)
-	if m.unreachable[address] {
+	if m.isUnreachable(address) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -137,10 +204,11 @@
 	}
 	s := m.servers[address]
 	handle := map[wire.Method]wire.CallHandler{
-		MethodClaim: s.HandleClaim,
-		MethodDraw:  s.HandleDraw,
-		MethodLend:  s.HandleLend,
-		MethodList:  s.HandleList,
+		MethodClaim:  s.HandleClaim,
+		MethodPermit: s.HandlePermit,
+		MethodDraw:   s.HandleDraw,
+		MethodLend:   s.HandleLend,
+		MethodList:   s.HandleList,
 	}[method]
 	result, err := handle(ctx, "", body)
 	if err != nil {
@@ -156,12 +224,14 @@
 func (m *mesh) Send(address netip.AddrPort, method wire.Method, value any) {
 	m.sends.Add(1)
 	body, err := cbor.Marshal(value)
-	if err != nil || m.unreachable[address] || m.servers[address] == nil {
+	if err != nil || m.isUnreachable(address) || m.servers[address] == nil {
 		return
 	}
 	switch method {
 	case MethodClaimUpdate:
 		m.servers[address].HandleClaimUpdate("", body)
+	case MethodLimit:
+		m.servers[address].HandleLimit("", body)
 	case MethodReturn:
 		m.servers[address].HandleReturn("", body)
 	}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -184,6 +184,8 @@
 		Int("candidates", p.Candidates).
 		Bool("claimed", x.activeClaim != nil).
 		Int("moves", x.reassignments).
+		Bool("permit", x.permitted).
+		Int("permitsRefused", x.permitsRefused).
 		Int64("loadAgeMillis", p.LoadAge.Milliseconds()).
 		Int64("listAgeMillis", listAge.Milliseconds()).
 		Int64("leftMillis", (x.deadline - clock.SinceBoot()).Milliseconds()).
--- a/node/site.go
+++ b/node/site.go
@@ -104,6 +104,8 @@
 	n.endpoint.HandleCall(gateway.MethodLend, g.HandleLend)
 	n.endpoint.HandleCall(gateway.MethodClaim, g.HandleClaim)
 	n.endpoint.HandleMessage(gateway.MethodClaimUpdate, g.HandleClaimUpdate)
+	n.endpoint.HandleCall(gateway.MethodPermit, g.HandlePermit)
+	n.endpoint.HandleMessage(gateway.MethodLimit, g.HandleLimit)
 	n.endpoint.HandleCall(gateway.MethodDraw, g.HandleDraw)
 	n.endpoint.HandleCall(gateway.MethodList, g.HandleList)
 	n.endpoint.HandleMessage(gateway.MethodReturn, g.HandleReturn)
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -26,17 +26,21 @@
 	leaving bool
 	// fullUntil is when the instance takes requests again, as it said when it refused one.
 	fullUntil time.Duration
-	// limit is nil if the instance named none in its latest response.
-	limit            *Limit
-	unreadableLimits int
+	limit     instanceLimit
 	// absentSince is when the instance left the list, negative while it is listed.
 	absentSince time.Duration
 }
 
-func (e *exclusion) applies(now time.Duration) bool {
+// rejects reports whether the instance has said that it takes no requests now.
+func (e *exclusion) rejects(now time.Duration) bool {
 	return e.leaving || now < e.fullUntil
 }
 
+// opensAt returns when the instance may be chosen again, unless it leaves.
+func (e *exclusion) opensAt() time.Duration {
+	return max(e.fullUntil, e.limit.deferredUntil)
+}
+
 // supersededBy reports whether an instance in the list is a later run of the server.
 func (e *exclusion) supersededBy(listed routing.Instance, now time.Duration) bool {
 	switch {
@@ -85,10 +89,11 @@
 	return e
 }
 
-// excluded reports whether an instance has said that it takes no requests now.
+// excluded reports whether an instance has said that it takes no requests now, or there is no permit
+// for one.
 func (f *Forecast) excluded(id fleet.BackendServerID, now time.Duration) bool {
 	e, ok := f.exclusions[id]
-	return ok && e.applies(now)
+	return ok && (e.leaving || now < e.opensAt())
 }
 
 // MarkLeaving records that an instance has said that it leaves. Pick does not choose it again
@@ -115,7 +120,7 @@
 }
 
 // FullFor returns the time until the first instance takes requests again. It is 0 unless all
-// instances that stay have said that they are full.
+// instances that stay are full, by what they said or for want of permits.
 func (f *Forecast) FullFor(now time.Duration) time.Duration {
 	first := time.Duration(0)
 	for _, s := range f.instances {
@@ -123,18 +128,23 @@
 		switch {
 		case !s.stays(now) || ok && e.leaving:
 			continue
-		case !ok || now >= e.fullUntil:
+		case !ok || now >= e.opensAt():
 			return 0
-		case first == 0 || e.fullUntil-now < first:
-			first = e.fullUntil - now
+		case first == 0 || e.opensAt()-now < first:
+			first = e.opensAt() - now
 		}
 	}
 	return first
 }
 
-// Available reports whether an instance is listed, not draining, and has not said that it takes
-// no requests now.
-func (f *Forecast) Available(id fleet.BackendServerID, now time.Duration) bool {
-	s, ok := f.instances[id]
-	return ok && f.available(s, now)
+// MaySend reports whether a request that was assigned to an instance may still be sent there: the
+// instance is listed and not draining, has not said that it takes no requests now, and has not named
+// a limit since, unless there is a permit for the request.
+func (f *Forecast) MaySend(p *Assignment, permitted bool, now time.Duration) bool {
+	s, ok := f.instances[p.Instance.ID]
+	if !ok || !s.stays(now) {
+		return false
+	}
+	e, ok := f.exclusions[p.Instance.ID]
+	return !ok || !e.rejects(now) && (permitted || e.limit.rate == nil)
 }
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -141,6 +142,9 @@
 	Candidates int
 	// LoadAge is the age of the instance's load report, negative if there is none.
 	LoadAge time.Duration
+	// Limit is what is known of the instance's limit, nil if it has none. A request to a limited
+	// instance needs a permit.
+	Limit *ratelimit.Report
 
 	started       time.Duration
 	firstByteSeen bool
@@ -218,6 +222,7 @@
 	if s.waitingSince == 0 {
 		s.waitingSince = now
 	}
+	best.Limit = f.limitOf(best.Instance, now)
 	best.demandPart = longestShared(r.Parts).ID
 	f.addDemand(best.demandPart, 1, now)
 	best.parts, best.lastUsed = f.markCached(s, r.Parts, now)
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -1,50 +1,55 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
-// notableChange is the relative change of a limit that is worth a message. Some instances name a
-// slightly different one in each response.
-const notableChange = 0.1
-
-// Limit is the rate at which an instance takes requests from all nodes together.
-type Limit struct {
-	Rate routing.Rate
-	// KnownAt is when the instance last named it, as far as this node knows.
-	KnownAt time.Duration
+// instanceLimit is what a node knows of the limit of one run of an instance.
+type instanceLimit struct {
+	// rate is nil if the instance names no limit.
+	rate *routing.Rate
+	// knownAt is the time of the response that said so, reportedAt when the node last told others.
+	knownAt    time.Duration
+	reportedAt time.Duration
+	// unreadable counts the responses whose limit could not be read.
+	unreadable int
+	// deferredUntil is when a permit may be asked for again.
+	deferredUntil time.Duration
 }
 
 // RecordLimit records the limit that the response to a request names, or that it names none. It
-// reports whether the limit has begun, ended or changed notably.
+// reports whether other nodes are to be told: the limit has begun, ended or changed notably, or it
+// is time to repeat it.
 func (f *Forecast) RecordLimit(p *Assignment, rate *routing.Rate, now time.Duration) bool {
 	if rate == nil {
 		e, ok := f.exclusions[p.Instance.ID]
-		// The response may have been under way when another one named the limit.
-		if !ok || e.limit == nil || p.started <= e.limit.KnownAt {
+		// A response to an earlier request may have been under way when the limit was named.
+		if !ok || e.limit.rate == nil || p.started <= e.limit.knownAt {
 			return false
 		}
-		e.limit = nil
-		return true
 	}
 	e := f.exclusion(p.Instance.ID)
 	if e == nil {
 		return false
 	}
-	notable := e.limit == nil || differNotably(e.limit.Rate, *rate)
-	e.limit = &Limit{
-		Rate:    *rate,
-		KnownAt: now,
+	tell := ratelimit.DifferNotably(e.limit.rate, rate) || now-e.limit.reportedAt >= ratelimit.RefreshInterval
+	e.limit.set(rate, now)
+	if tell {
+		e.limit.reportedAt = now
 	}
-	return notable
+	return tell
 }
 
-func differNotably(a, b routing.Rate) bool {
-	return math.Abs(float64(a-b)) > notableChange*float64(max(a, b))
+func (l *instanceLimit) set(rate *routing.Rate, knownAt time.Duration) {
+	l.rate = rate
+	l.knownAt = knownAt
+	if rate == nil {
+		l.deferredUntil = 0
+	}
 }
 
 // RecordUnreadableLimit counts a response that names a limit that cannot be read, and returns the
@@ -54,14 +59,57 @@
 	if e == nil {
 		return 0
 	}
-	e.unreadableLimits++
-	return e.unreadableLimits
+	e.limit.unreadable++
+	return e.limit.unreadable
+}
+
+// ApplyLimit applies a report of another node, which came at a time, unless a later one is known or
+// the report is of another run of the instance. It reports whether the limit has begun, ended or
+// changed notably.
+func (f *Forecast) ApplyLimit(r ratelimit.Report, received time.Duration) bool {
+	s, listed := f.instances[r.Instance]
+	if !listed || s.instance.Born != r.Born {
+		return false
+	}
+	if _, ok := f.exclusions[r.Instance]; !ok && r.Limit == nil {
+		return false
+	}
+	e, at := f.exclusion(r.Instance), r.KnownAt(received)
+	if at <= e.limit.knownAt {
+		return false
+	}
+	changed := ratelimit.DifferNotably(e.limit.rate, r.Limit)
+	e.limit.set(r.Limit, at)
+	return changed
+}
+
+// LimitReport returns what is known of the limit of an instance.
+func (f *Forecast) LimitReport(instance routing.Instance, now time.Duration) ratelimit.Report {
+	r := ratelimit.Report{
+		Service:  instance.Service,
+		Instance: instance.ID,
+		Born:     instance.Born,
+	}
+	if e, ok := f.exclusions[instance.ID]; ok {
+		r.Limit = e.limit.rate
+		r.AgeMillis = (now - e.limit.knownAt).Milliseconds()
+	}
+	return r
+}
+
+// limitOf returns the report on an instance that has a limit, nil for one without.
+func (f *Forecast) limitOf(instance routing.Instance, now time.Duration) *ratelimit.Report {
+	r := f.LimitReport(instance, now)
+	if r.Limit == nil {
+		return nil
+	}
+	return &r
 }
 
-// Limit returns the limit of an instance, nil if it has none.
-func (f *Forecast) Limit(id fleet.BackendServerID) *Limit {
-	if e, ok := f.exclusions[id]; ok {
-		return e.limit
+// Defer records that there is no permit for a request to a limited instance until some time has
+// passed.
+func (f *Forecast) Defer(id fleet.BackendServerID, wait, now time.Duration) {
+	if e, ok := f.exclusions[id]; ok && e.limit.rate != nil {
+		e.limit.deferredUntil = max(e.limit.deferredUntil, now+wait)
 	}
-	return nil
 }
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -48,8 +48,8 @@
 	return !s.instance.Draining && now >= s.drainingUntil
 }
 
-// available reports whether an instance may be chosen: it is not draining, and has not said
-// itself that it takes no requests.
+// available reports whether an instance may be chosen: it is not draining, has not said itself that
+// it takes no requests, and a permit was not refused for it.
 func (f *Forecast) available(s *instanceState, now time.Duration) bool {
 	return s.stays(now) && !f.excluded(s.instance.ID, now)
 }
--- /dev/null
+++ b/ratelimit/issuer.go
@@ -0,0 +1,141 @@
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+const (
+	// burstTime is the time for which unused permits accumulate.
+	burstTime = 500 * time.Millisecond
+	// askerMemory is how long a node counts among those that ask for permits.
+	askerMemory = 5 * time.Second
+	// minWait and maxWait bound the time after which a node asks again. A limit may end or rise
+	// meanwhile.
+	minWait = 20 * time.Millisecond
+	maxWait = 2 * time.Second
+	// issuerMemory is how long an instance for which nobody asks is remembered.
+	issuerMemory = 5 * time.Minute
+)
+
+// Issuer issues permits for the limited instances that a node owns. It is not safe for concurrent
+// use.
+type Issuer struct {
+	rng      *rand.Rand
+	accounts map[fleet.BackendServerID]*account
+	sweptAt  time.Duration
+}
+
+// NewIssuer returns an issuer without accounts.
+func NewIssuer(seed uint64) *Issuer {
+	return &Issuer{
+		rng:      rand.New(rand.NewPCG(seed, 3)),
+		accounts: map[fleet.BackendServerID]*account{},
+	}
+}
+
+// account is the state of one limited instance.
+type account struct {
+	report  Report
+	knownAt time.Duration
+	permits bucket
+	// askers has the time at which each node last asked.
+	askers  map[fleet.NodeID]time.Duration
+	askedAt time.Duration
+}
+
+// Decision is the answer to a node that asks for a permit.
+type Decision struct {
+	Granted bool `json:"granted,omitempty"`
+	// WaitMillis is the time after which the node may ask again.
+	WaitMillis int64 `json:"waitMillis,omitempty"`
+	// Latest is what the owner knows of the limit.
+	Latest Report `json:"latest"`
+}
+
+// Learn records a report of an instance's limit, unless a later one is known.
+func (i *Issuer) Learn(r Report, now time.Duration) {
+	i.learn(r, now)
+}
+
+// learn does what Learn does and returns the instance's account.
+func (i *Issuer) learn(r Report, now time.Duration) *account {
+	i.sweep(now)
+	a, ok := i.accounts[r.Instance]
+	at := r.KnownAt(now)
+	if !ok || a.report.Born != r.Born && at > a.knownAt {
+		// A new account starts empty: a previous owner may have issued permits until now.
+		a = &account{
+			report:  r,
+			knownAt: at,
+			permits: bucket{at: now},
+			askers:  map[fleet.NodeID]time.Duration{},
+			askedAt: now,
+		}
+		i.accounts[r.Instance] = a
+	}
+	if at > a.knownAt {
+		a.fill(now)
+		a.report = r
+		a.knownAt = at
+	}
+	return a
+}
+
+// rate returns the rate of the permits.
+func (a *account) rate() routing.Rate {
+	if a.report.Limit == nil {
+		return 0
+	}
+	return max(*a.report.Limit, probeRate)
+}
+
+func (a *account) fill(now time.Duration) {
+	rate := a.rate()
+	a.permits.fill(rate, 1+float64(rate)*burstTime.Seconds(), now)
+}
+
+// Ask decides whether a node may send one request to an instance, of whose limit it reports what it
+// knows.
+func (i *Issuer) Ask(node fleet.NodeID, r Report, now time.Duration) Decision {
+	a := i.learn(r, now)
+	a.askedAt = now
+	a.fill(now)
+	d := Decision{Latest: a.report.aged(a.knownAt, now)}
+	if a.report.Limit == nil || a.permits.take() {
+		d.Granted = true
+		return d
+	}
+	a.askers[node] = now
+	d.WaitMillis = i.wait(a, now).Milliseconds()
+	return d
+}
+
+// wait returns when a node is to ask again. All nodes that ask are to come back at different times,
+// about twice as often as there are permits.
+func (i *Issuer) wait(a *account, now time.Duration) time.Duration {
+	for node, at := range a.askers {
+		if now-at > askerMemory {
+			delete(a.askers, node)
+		}
+	}
+	perPermit := float64(time.Second) / float64(a.rate())
+	spread := time.Duration((0.5 + i.rng.Float64()) / 2 * perPermit * float64(len(a.askers)))
+	return min(max(a.permits.wait(a.rate()), spread, minWait), maxWait)
+}
+
+// sweep forgets the instances for which nobody asks any more.
+func (i *Issuer) sweep(now time.Duration) {
+	if now-i.sweptAt < issuerMemory {
+		return
+	}
+	i.sweptAt = now
+	for id, a := range i.accounts {
+		if now-a.askedAt > issuerMemory {
+			delete(i.accounts, id)
+		}
+	}
+}
