--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -42,6 +43,9 @@
 	service   *routing.Service
 	workspace *routing.Workspace
 	body      []byte
+	// identity is what the request has in common with its repetitions, empty until the body is
+	// known.
+	identity routing.PartID
 	// buffers is the memory that the bodies of the request and of its responses take.
 	buffers  allocation
 	arrived  time.Duration
@@ -114,6 +118,7 @@
 	if !x.resolve() || !x.readBody() {
 		return
 	}
+	x.identity = quarantine.Identity(x.caller(), x.r.Host, x.r.RequestURI, x.body)
 	if x.quarantined() {
 		x.refuse(CausePartSuspended)
 		return
@@ -168,6 +173,14 @@
 	return true
 }
 
+// caller returns the workspace of the request, or its key if that is unknown.
+func (x *exchange) caller() string {
+	if x.workspace != nil {
+		return string(x.workspace.ID)
+	}
+	return x.request.Key
+}
+
 // headerBytes returns the approximate size of a request's header on the wire.
 func headerBytes(r *http.Request) int {
 	const perLine = len(": \r\n")
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -214,6 +214,7 @@
 	x.s.cfg.Metrics.Count("attempts_failed", causeLabel(causeOf(result)))
 	x.s.cfg.Log.Warn(event.AttemptFailed).
 		Str("request", string(x.request.ID)).
+		Str("identity", string(x.identity)).
 		Str("instance", string(p.Instance.ID)).
 		Str("outcome", string(causeOf(result))).
 		Int("attempts", x.attempts).
@@ -264,6 +265,7 @@
 		Uint64("version", version).
 		Int("status", x.status).
 		Str("cause", string(x.cause)).
+		Str("identity", string(x.identity)).
 		Str("instance", string(x.lastInstance)).
 		Int("attempts", x.attempts).
 		Int("connects", x.failedConnects).
