Quarantine: judge a request's own identity

The class: a fault that lies in a request is taken for one of the server.

A request is judged like a part now, by caller, path and body, on all routes. Crashes of several instances within moments count one by one for it. A reset connection counts as a crash if the instance refuses new ones right after it: a plain service crashes before it sends a header, as a busy one resets connections. A list of suspensions that comes before its handler is no longer lost.

--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -75,12 +75,6 @@
 	// and limits, including this one, whenever the number or the set of nodes that
 	// are up changes.
 	HandleEntryNodes(nodes int)
-	// HandleQuarantine is called with the parts of prompts that a replica watches or has
-	// suspended, whenever they change.
-	HandleQuarantine(list quarantine.List)
-	// TakeEvidence returns what the node has observed of parts of prompts since the last call.
-	// The argument is true for the first heartbeat of a subscription.
-	TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice)
 	// HandleLimits is called with the limits that instances name, whenever they change notably.
 	HandleLimits(list ratelimit.List)
 	// TakeLimits returns what responses to the node have said of limits since the last call. The
@@ -88,6 +82,17 @@
 	TakeLimits(first bool) []ratelimit.Report
 }
 
+// Quarantine handles what concerns requests on which backend servers crash. Its methods must not
+// block.
+type Quarantine interface {
+	// HandleQuarantine is called with the parts of prompts and the requests that a replica watches
+	// or has suspended, whenever they change.
+	HandleQuarantine(list quarantine.List)
+	// TakeEvidence returns what the node has observed of them since the last call. The argument is
+	// true for the first heartbeat of a subscription.
+	TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice)
+}
+
 // Store stores the configuration across restarts.
 type Store interface {
 	Load() (catalog.Delta, bool)
@@ -122,6 +127,9 @@
 	joined         atomic.Bool
 	handler        atomic.Pointer[Handler]
 	watcher        atomic.Pointer[Watcher]
+	quarantine     atomic.Pointer[Quarantine]
+	quarantineList atomic.Pointer[quarantine.List]
+	limits         atomic.Pointer[ratelimit.List]
 	routing        atomic.Pointer[routing.View]
 	replicas       atomic.Pointer[[]netip.AddrPort]
 	view           atomic.Pointer[catalog.View]
@@ -172,8 +180,17 @@
 	c.handler.Store(&h)
 }
 
+// SetQuarantine sets the handler of the quarantine and passes it the list that has come already, if
+// any: a replica sends a list only once.
+func (c *Client) SetQuarantine(q Quarantine) {
+	c.quarantine.Store(&q)
+	if list := c.quarantineList.Load(); list != nil {
+		q.HandleQuarantine(*list)
+	}
+}
+
 // SetWatcher sets the watcher of routed requests. It passes the current number of entry
-// nodes and the current routing configuration to the watcher, if they are known.
+// nodes, the current routing configuration and the limits to the watcher, if they are known.
 func (c *Client) SetWatcher(w Watcher) {
 	c.watcher.Store(&w)
 	if n := c.entryNodeCount.Load(); n > 0 {
@@ -182,6 +199,9 @@
 	if view := c.routing.Load(); view != nil {
 		w.HandleRouting(view)
 	}
+	if list := c.limits.Load(); list != nil {
+		w.HandleLimits(*list)
+	}
 }
 
 // SetReplicas replaces the configured addresses of the control nodes.
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -139,8 +139,10 @@
 			Report:  report,
 			Routing: c.routingVersion(),
 		}
+		if q := c.quarantine.Load(); q != nil {
+			heartbeat.Evidence, heartbeat.Suspended = (*q).TakeEvidence(first)
+		}
 		if watcher := c.watcher.Load(); watcher != nil {
-			heartbeat.Evidence, heartbeat.Suspended = (*watcher).TakeEvidence(first)
 			heartbeat.Limits = (*watcher).TakeLimits(first)
 		}
 		if ch.Send(heartbeat) != nil {
@@ -206,11 +208,17 @@
 	}
 	// A node that has just started must know the suspended parts and the limits before it serves
 	// requests.
-	if watcher := c.watcher.Load(); watcher != nil && update.Quarantine != nil {
-		(*watcher).HandleQuarantine(*update.Quarantine)
+	if update.Quarantine != nil {
+		c.quarantineList.Store(update.Quarantine)
+		if q := c.quarantine.Load(); q != nil {
+			(*q).HandleQuarantine(*update.Quarantine)
+		}
 	}
-	if watcher := c.watcher.Load(); watcher != nil && update.Limits != nil {
-		(*watcher).HandleLimits(*update.Limits)
+	if update.Limits != nil {
+		c.limits.Store(update.Limits)
+		if watcher := c.watcher.Load(); watcher != nil {
+			(*watcher).HandleLimits(*update.Limits)
+		}
 	}
 	c.applyRouting(update)
 	if len(update.Roster) > 0 {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -180,6 +180,9 @@
 		return fmt.Sprintf("instance %v ran it and failed", end.Fields["instance"])
 	case gateway.CauseInstanceBusy:
 		return "every instance that was tried refused it for lack of capacity; it has not run"
+	case gateway.CauseRequestSuspended:
+		return fmt.Sprintf("instances had crashed on the same request before, whose identity %v is suspended for %v ms more; it was not sent to another instance",
+			end.Fields["suspendedPart"], end.Fields["suspendedMillis"])
 	case gateway.CausePartSuspended:
 		return fmt.Sprintf("engines had crashed on part %v of its prompt, which is suspended for %v ms more; it was not sent to another engine",
 			end.Fields["suspendedPart"], end.Fields["suspendedMillis"])
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -221,15 +221,13 @@
 		header: in.Header,
 		body:   body,
 	}
+	x.instanceCompleted(in.Status/100 == 2)
 	if in.Status >= http.StatusInternalServerError {
 		x.attemptEnded(placed, placement.OutcomeSlow)
 		x.failedResponse = &buffered
 		return resultFailed, eris.Errorf("instance responded with status %d", in.Status)
 	}
 	x.attemptEnded(placed, placement.OutcomeOK)
-	if in.Status/100 == 2 {
-		x.engineCompleted()
-	}
 	x.deliver(buffered, CauseNone)
 	return resultDelivered, nil
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,7 +90,8 @@
 	// instancesFullFor is the time until the first instance takes requests again, 0 unless all
 	// have said that they are full.
 	instancesFullFor time.Duration
-	// suspendedFor is the time for which suspendedPart, a part of the prompt, is suspended.
+	// suspendedFor is the time for which suspendedPart, a part of the prompt or the identity of the
+	// request, is suspended.
 	suspendedFor  time.Duration
 	suspendedPart routing.PartID
 	// responseBegun is set once the current attempt has the header of its response, and
@@ -120,7 +121,7 @@
 	}
 	x.identity = quarantine.Identity(x.caller(), x.r.Host, x.r.RequestURI, x.body)
 	if x.quarantined() {
-		x.refuse(CausePartSuspended)
+		x.refuse(x.suspensionCause())
 		return
 	}
 	remaining := x.deadline - clock.SinceBoot()
@@ -288,9 +289,9 @@
 // run makes attempts until the caller has a response or no further attempt is allowed.
 func (x *exchange) run() {
 	for {
-		// The part may have been suspended while the request waited.
+		// It may have been suspended while the request waited.
 		if !x.admitted() {
-			x.fail(CausePartSuspended)
+			x.fail(x.suspensionCause())
 			return
 		}
 		placed, listAge, ok := x.chooseInstance(placement.ForecastRequest{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	claims       *claimRegistry
 	permits      *permits
 	quarantine   *quarantine.Monitor
+	crashes      crashChecks
 	quotaManager atomic.Pointer[quota.Manager]
 	view         atomic.Pointer[routing.View]
 	draining     atomic.Bool
@@ -144,6 +145,7 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		listReadAt: -time.Hour,
+		crashes:    crashChecks{goneAt: map[fleet.BackendServerID]time.Duration{}},
 	}
 	s.claims = newClaimRegistry(cfg, s.peers)
 	s.permits = newPermits(cfg, s.claims)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,7 +57,9 @@
 	gauge("connections_reused_total", float64(reused))
 	gauge("requests_in_flight", float64(s.InFlight()))
 	gauge("instance_list_age_seconds", s.ListAge().Seconds())
-	gauge("prompt_parts_suspended", float64(s.quarantine.Suspended(clock.SinceBoot())))
+	parts, requests := s.quarantine.Suspended(clock.SinceBoot())
+	gauge("prompt_parts_suspended", float64(parts))
+	gauge("requests_suspended", float64(requests))
 	gauge("entry_nodes", float64(s.entryNodeCount()))
 	if view := s.view.Load(); view != nil {
 		gauge("configuration_version", float64(view.Config.Version))
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -51,7 +51,9 @@
 	CauseInstanceFailed Cause = "instanceFailed"
 	// CausePartSuspended means that engines have crashed on a part of the prompt.
 	CausePartSuspended Cause = "partSuspended"
-	CauseDeadline      Cause = "deadline"
+	// CauseRequestSuspended means that instances have crashed on this request before.
+	CauseRequestSuspended Cause = "requestSuspended"
+	CauseDeadline         Cause = "deadline"
 	// CauseCallerDisconnected means that the caller closed its connection before the end.
 	CauseCallerDisconnected Cause = "callerGone"
 )
@@ -116,7 +118,7 @@
 	if cause == CauseNoQuota && x.shortage != nil && x.shortage.LedgerUnreachable {
 		after = retryAfterPartitioned(x.deadline - clock.SinceBoot())
 	}
-	if cause == CausePartSuspended {
+	if cause == CausePartSuspended || cause == CauseRequestSuspended {
 		after = x.retryAfterSuspension()
 	}
 	if x.instancesFullFor > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -52,7 +52,7 @@
 				x.beginStream(in)
 			}
 			x.attemptEnded(placed, placement.OutcomeOK)
-			x.engineCompleted()
+			x.instanceCompleted(true)
 			x.complete = true
 			x.logEnd(nil)
 			return resultDelivered, nil
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -46,6 +46,9 @@
 	downUntil []time.Duration
 	flights   [][]*flight
 
+	// plain is set for a service whose requests have no parts.
+	plain bool
+
 	deadlyCrashes []time.Duration
 	arrivals      []time.Duration
 	soundSent     int
@@ -54,13 +57,14 @@
 
 // flight is a request at an engine.
 type flight struct {
-	node   int
-	engine int
-	parts  []routing.Part
-	deadly bool
-	begun  bool
-	events bool
-	ended  bool
+	node     int
+	engine   int
+	parts    []routing.Part
+	identity routing.PartID
+	deadly   bool
+	begun    bool
+	events   bool
+	ended    bool
 }
 
 func newSimulation(t *testing.T, nodes, engines int, seed uint64) *simulation {
@@ -106,10 +110,18 @@
 		f.parts = append(f.parts, routing.Part{ID: "deadly"})
 	}
 	f.parts = append(f.parts, routing.Part{ID: routing.PartID(strconv.FormatUint(s.rng.Uint64(), 16))})
+	f.identity = quarantine.Identity("caller", "host", "/", []byte(f.parts[len(f.parts)-1].ID))
+	if s.plain {
+		f.parts = nil
+		if deadly {
+			f.identity = quarantine.Identity("caller", "host", "/", []byte("deadly"))
+		}
+	}
 	if !deadly {
 		s.soundSent++
 	}
-	if wait, _ := s.nodes[f.node].Admit("s", f.parts, s.now); wait > 0 {
+	suspects := append(slices.Clone(f.parts), routing.Part{ID: f.identity})
+	if wait, _ := s.nodes[f.node].Admit("s", suspects, s.now); wait > 0 {
 		if !deadly {
 			s.soundRefused++
 		}
@@ -145,7 +157,7 @@
 	s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() {
 		if !f.ended {
 			s.end(f)
-			s.nodes[f.node].Completed("s", f.parts, s.now)
+			s.nodes[f.node].Completed("s", f.parts, f.identity, s.now)
 		}
 	})
 }
@@ -174,6 +186,8 @@
 	}
 	if !f.events {
 		crash.Parts = f.parts
+		crash.Identity = f.identity
+		crash.Gone = s.now < s.downUntil[f.engine]
 	}
 	s.nodes[f.node].Crashed(crash, s.now)
 }
@@ -253,15 +267,15 @@
 	}
 }
 
-// arrivalsTooLate returns how many requests with the deadly part reached engines later than grace
-// after its fifth crash.
-func (s *simulation) arrivalsTooLate() int {
-	if len(s.deadlyCrashes) < 5 {
+// arrivalsTooLate returns how many requests with the deadly part, or deadly requests, reached engines
+// later than grace after a number of crashes.
+func (s *simulation) arrivalsTooLate(crashes int) int {
+	if len(s.deadlyCrashes) < crashes {
 		return 0
 	}
 	n := 0
 	for _, at := range s.arrivals {
-		if at > s.deadlyCrashes[4]+grace {
+		if at > s.deadlyCrashes[crashes-1]+grace {
 			n++
 		}
 	}
@@ -301,7 +315,7 @@
 	}
 	s := newSimulation(t, int(numbers[1]), int(numbers[2]), seed)
 	s.run(numbers[3], numbers[4], int(numbers[5]), fields[6])
-	if got := s.arrivalsTooLate(); got > maxArrivals {
+	if got := s.arrivalsTooLate(5); got > maxArrivals {
 		t.Errorf("seed %d: got %d requests with the deadly part at engines later than %s after the fifth of %d crashes, want at most %d", seed, got, grace, len(s.deadlyCrashes), maxArrivals)
 	}
 	if limit := s.soundSent / 100; s.soundRefused > limit {
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -27,3 +28,8 @@
 	}
 	return routing.PartID(identityPrefix + hex.EncodeToString(hash.Sum(nil)[:identityBytes]))
 }
+
+// IsIdentity reports whether an id is the identity of a request rather than that of a part.
+func IsIdentity(id routing.PartID) bool {
+	return strings.HasPrefix(string(id), identityPrefix)
+}
--- a/quarantine/monitor.go
+++ b/quarantine/monitor.go
@@ -51,6 +51,8 @@
 	broken map[fleet.BackendServerID]time.Duration
 	// sound has the time of the last completed response on each part.
 	sound map[Key]time.Duration
+	// soundRequests is the same for identities, apart from the parts, which are fewer and stay.
+	soundRequests map[Key]time.Duration
 	// reported has the time of the last report of a completed response.
 	reported map[Key]time.Duration
 	notices  map[Key]heldNotice
@@ -77,12 +79,13 @@
 // NewMonitor returns a monitor without evidence.
 func NewMonitor(cfg MonitorConfig) *Monitor {
 	return &Monitor{
-		cfg:      cfg,
-		broken:   map[fleet.BackendServerID]time.Duration{},
-		sound:    map[Key]time.Duration{},
-		reported: map[Key]time.Duration{},
-		notices:  map[Key]heldNotice{},
-		trials:   map[Key]time.Duration{},
+		cfg:           cfg,
+		broken:        map[fleet.BackendServerID]time.Duration{},
+		sound:         map[Key]time.Duration{},
+		soundRequests: map[Key]time.Duration{},
+		reported:      map[Key]time.Duration{},
+		notices:       map[Key]heldNotice{},
+		trials:        map[Key]time.Duration{},
 	}
 }
 
@@ -94,8 +97,12 @@
 	// Parts are the parts of the prompt. They are empty if the response had come to its first
 	// event, since then the request is not why the engine crashed.
 	Parts []routing.Part
+	// Identity is the identity of the request, empty under the same condition.
+	Identity routing.PartID
 	// Begun is set if the engine had sent the header.
 	Begun bool
+	// Gone is set if the engine refused connections right after it.
+	Gone bool
 }
 
 // Crashed records a crash.
@@ -103,32 +110,50 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.broken[c.Engine] = now
-	if m.brokenAtOnce(now) > maxEnginesAtOnce || len(c.Parts) == 0 {
+	if m.brokenAtOnce(now) > maxEnginesAtOnce || len(c.Parts) == 0 && c.Identity == "" {
 		return
 	}
 	e := Evidence{
 		Service: c.Service,
 		Engine:  c.Engine,
 		Begun:   c.Begun,
+		Gone:    c.Gone,
 	}
 	for _, part := range c.Parts[max(0, len(c.Parts)-maxSuspects):] {
-		suspect := Suspect{
-			Part:           part.ID,
-			SoundAgeMillis: -1,
-		}
-		key := Key{
-			Service: c.Service,
-			Part:    part.ID,
-		}
-		if at, ok := m.sound[key]; ok {
-			suspect.SoundAgeMillis = (now - at).Milliseconds()
-		}
-		e.Parts = append(e.Parts, suspect)
+		e.Parts = append(e.Parts, m.suspect(c.Service, part.ID, now))
+	}
+	if c.Identity != "" {
+		identity := m.suspect(c.Service, c.Identity, now)
+		e.Identity = &identity
 	}
 	m.own.Add(e, now)
 	m.send(e, now)
 }
 
+// suspect returns a part or an identity with the age of its last completed response.
+func (m *Monitor) suspect(service fleet.ServiceID, part routing.PartID, now time.Duration) Suspect {
+	s := Suspect{
+		Part:           part,
+		SoundAgeMillis: -1,
+	}
+	if at, ok := m.soundAt(Key{
+		Service: service,
+		Part:    part,
+	}); ok {
+		s.SoundAgeMillis = (now - at).Milliseconds()
+	}
+	return s
+}
+
+// soundAt returns when a response on a part, or to a request, was last completed.
+func (m *Monitor) soundAt(key Key) (time.Duration, bool) {
+	if at, ok := m.sound[key]; ok {
+		return at, true
+	}
+	at, ok := m.soundRequests[key]
+	return at, ok
+}
+
 // brokenAtOnce returns the number of engines of which a response has just broken.
 func (m *Monitor) brokenAtOnce(now time.Duration) int {
 	for engine, at := range m.broken {
@@ -140,7 +165,7 @@
 }
 
 // Completed records a completed response.
-func (m *Monitor) Completed(service fleet.ServiceID, parts []routing.Part, now time.Duration) {
+func (m *Monitor) Completed(service fleet.ServiceID, parts []routing.Part, identity routing.PartID, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, part := range parts {
@@ -152,9 +177,23 @@
 		if i < len(parts)-1 {
 			remember(m.sound, key, now)
 		}
-		if _, watched := m.notices[key]; watched || m.own.Crashes(key) > 0 {
-			m.reportSound(key, now, now)
-		}
+		m.clear(key, now)
+	}
+	if identity == "" {
+		return
+	}
+	key := Key{
+		Service: service,
+		Part:    identity,
+	}
+	remember(m.soundRequests, key, now)
+	m.clear(key, now)
+}
+
+// clear reports a completed response on a part, or to a request, that is suspected.
+func (m *Monitor) clear(key Key, now time.Duration) {
+	if _, watched := m.notices[key]; watched || m.own.Crashes(key) > 0 {
+		m.reportSound(key, now, now)
 	}
 }
 
@@ -240,13 +279,22 @@
 	e.AgeMillis += passed
 	e.Parts = slices.Clone(e.Parts)
 	for i := range e.Parts {
-		if e.Parts[i].SoundAgeMillis >= 0 {
-			e.Parts[i].SoundAgeMillis += passed
-		}
+		e.Parts[i] = e.Parts[i].aged(passed)
+	}
+	if e.Identity != nil {
+		identity := e.Identity.aged(passed)
+		e.Identity = &identity
 	}
 	return e
 }
 
+func (s Suspect) aged(millis int64) Suspect {
+	if s.SoundAgeMillis >= 0 {
+		s.SoundAgeMillis += millis
+	}
+	return s
+}
+
 func (m *Monitor) suspensions(now time.Duration) []Notice {
 	var notices []Notice
 	for key, held := range m.notices {
@@ -303,7 +351,7 @@
 		period:  millis(n.PeriodMillis),
 	}
 	m.notices[n.Key] = held
-	if at, ok := m.sound[n.Key]; ok && at > held.crashAt {
+	if at, ok := m.soundAt(n.Key); ok && at > held.crashAt {
 		m.reportSound(n.Key, at, now)
 	}
 	return wasSuspended != (n.State == StateSuspended && now < m.opensAt(n.Key, held))
@@ -385,15 +433,18 @@
 	return true
 }
 
-// Suspended returns the number of parts that are suspended on this node.
-func (m *Monitor) Suspended(now time.Duration) int {
+// Suspended returns the numbers of parts and of requests that are suspended on this node.
+func (m *Monitor) Suspended(now time.Duration) (parts, requests int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
 	for key, held := range m.notices {
-		if held.state == StateSuspended && now < m.opensAt(key, held) {
-			n++
+		switch {
+		case held.state != StateSuspended || now >= m.opensAt(key, held):
+		case IsIdentity(key.Part):
+			requests++
+		default:
+			parts++
 		}
 	}
-	return n
+	return parts, requests
 }
--- a/quarantine/monitor_test.go
+++ b/quarantine/monitor_test.go
@@ -78,7 +78,7 @@
 // it. The node must report that at once, and a response that is completed later too.
 func TestNodeObjectsToWatchedPart(t *testing.T) {
 	m := newMonitor(false)
-	m.Completed("s", soundParts, time.Hour)
+	m.Completed("s", soundParts, "", time.Hour)
 	watched := quarantine.List{Notices: []quarantine.Notice{{
 		Key: quarantine.Key{
 			Service: "s",
@@ -92,7 +92,7 @@
 	if len(evidence) != 1 || evidence[0].Engine != "" || evidence[0].AgeMillis != 1000 {
 		t.Errorf("got evidence %+v, want a response that was completed 1000 ms ago", evidence)
 	}
-	m.Completed("s", soundParts, time.Hour+5*time.Second)
+	m.Completed("s", soundParts, "", time.Hour+5*time.Second)
 	if evidence, _ := m.TakeEvidence(false, time.Hour+5*time.Second); len(evidence) != 1 {
 		t.Errorf("got evidence %+v, want the response", evidence)
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the parts of prompts on which engines crash, and keeps requests with
-// them away from the engines that still run.
+// Package quarantine finds the parts of prompts and the requests on which backend servers crash, and
+// keeps them away from those that still run.
 //
 // An engine that crashes ends the responses of all its requests, and nothing in a broken response
 // says which request was to blame. What tells a part to blame from the others is that no response
@@ -15,6 +15,11 @@
 // very last part of a prompt is the request's own. It is suspended if one request is repeated again
 // and again, but clears no other part: the next request would have another own part.
 //
+// A request is judged like a part, by its identity: caller, path and body. That finds the request
+// that its caller repeats, which a plain service has no parts to tell from others. An identity
+// explains no part and is explained by none. It is seldom in flight twice, so crashes of several
+// instances at about the same time count one by one.
+//
 // Entry nodes observe crashes and completed responses (Monitor). They send them with their
 // heartbeats to the control replicas, which pass them on to each other. Each replica judges them
 // (Table) and tells its entry nodes the verdicts. A part is watched before it is suspended, so that
@@ -60,7 +65,7 @@
 	maxSuspects = 16
 )
 
-// Key identifies a part of the prompts of a service.
+// Key identifies a part of the prompts of a service, or a request by its Identity.
 type Key struct {
 	Service fleet.ServiceID `json:"service"`
 	Part    routing.PartID  `json:"part"`
@@ -77,6 +82,11 @@
 	Engine fleet.BackendServerID `json:"engine,omitempty"`
 	// Begun is set if the engine had sent the header of that response.
 	Begun bool `json:"begun,omitempty"`
+	// Gone is set if the instance refused connections right after that: it has crashed, rather than
+	// reset a connection because it is busy.
+	Gone bool `json:"gone,omitempty"`
+	// Identity is the identity of the request whose response broke off.
+	Identity *Suspect `json:"identity,omitempty"`
 	// AgeMillis is the time since then.
 	AgeMillis int64 `json:"ageMillis"`
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -40,6 +40,16 @@
 	begun bool
 	// later are the parts that follow in the prompts of the requests.
 	later []Key
+	// perEngine is set if crashes of different engines count as different ones, however close.
+	perEngine bool
+}
+
+// sameAs reports whether two crashes count as one.
+func (c crash) sameAs(other crash) bool {
+	if (other.at - c.at).Abs() >= crashSpacing {
+		return false
+	}
+	return !c.perEngine || slices.Contains(other.engines, c.engines[0])
 }
 
 // maxCrashes bounds the crashes that are kept of one part.
@@ -84,11 +94,39 @@
 			later = append(later, key)
 		}
 	}
+	t.addIdentity(e, at, now)
+}
+
+// addIdentity records a crash against the identity of the request.
+func (t *Table) addIdentity(e Evidence, at, now time.Duration) {
+	if e.Identity == nil || e.Engine == "" {
+		return
+	}
+	r := t.record(Key{
+		Service: e.Service,
+		Part:    e.Identity.Part,
+	}, now)
+	if r == nil {
+		return
+	}
+	if e.Identity.SoundAgeMillis >= 0 {
+		t.completed(r, now-millis(e.Identity.SoundAgeMillis), now)
+	}
+	if at <= r.soundAt {
+		return
+	}
+	r.addCrash(crash{
+		engines:   []fleet.BackendServerID{e.Engine},
+		at:        at,
+		begun:     e.Begun || e.Gone,
+		perEngine: true,
+	})
+	t.judge(r, now)
 }
 
 // addCrash adds a crash, unless one at about the same time is known.
 func (r *record) addCrash(c crash) {
-	near := slices.IndexFunc(r.crashes, func(other crash) bool { return (other.at - c.at).Abs() < crashSpacing })
+	near := slices.IndexFunc(r.crashes, c.sameAs)
 	if near >= 0 {
 		known := &r.crashes[near]
 		known.begun = known.begun || c.begun
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -65,6 +65,26 @@
 			})
 		}
 		table.Add(e, now)
+	case "request":
+		e := quarantine.Evidence{
+			Service: "s",
+			Engine:  fleet.BackendServerID(fields[3]),
+			Identity: &quarantine.Suspect{
+				Part:           key.Part,
+				SoundAgeMillis: -1,
+			},
+		}
+		for i, field := range fields {
+			switch field {
+			case "gone":
+				e.Gone = true
+			case "sound":
+				if i > 3 {
+					e.Identity.SoundAgeMillis = parseDuration(t, fields[i+1]).Milliseconds()
+				}
+			}
+		}
+		table.Add(e, now)
 	case "sound":
 		table.Add(quarantine.Evidence{
 			Service: "s",
