Quarantine: judge the requests of the node's own interface

The own interface kept a request from a third server, and forgot it: its caller, who sends it again under a new id, met the next two. Chats and calls are judged by workspace, path and body like routed requests now, with the same monitor, evidence and verdicts; the ones that run at most once as well. Suspended ones get 503 requestSuspended, and notRun holds.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -208,6 +208,7 @@
 		}
 		delivered := r.deliveredTokens
 		err := r.attempt(assigned, attempt)
+		stop := r.attemptEnded(assigned.key, assigned.server, err, r.deliveredTokens > delivered)
 		if err == nil {
 			return nil
 		}
@@ -220,7 +221,7 @@
 			return last
 		}
 		r.request.Avoid = append(r.request.Avoid, assigned.server.ID)
-		if r.crashed(err, r.deliveredTokens > delivered) {
+		if stop {
 			break
 		}
 	}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/fleet"
 )
 
 // TestChatEndsServerAfterServer guards against a chat that is sent on each time that an engine
@@ -44,10 +45,14 @@
 			want:  4,
 		},
 	} {
-		x, got := &exchange{}, 0
+		x, got := &exchange{
+			server:       &Server{cfg: Config{Quarantine: newLocalQuarantine()}},
+			ctx:          t.Context(),
+			identityHash: "request:r",
+		}, 0
 		for _, err := range c.errs {
 			got++
-			if x.crashed(err, c.begun) {
+			if x.attemptEnded(poolKey{model: "m"}, catalog.BackendServer{ID: fleet.BackendServerID(name)}, err, c.begun) {
 				break
 			}
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/settings"
@@ -58,6 +59,9 @@
 	// NewBilling creates the settlement recorder. The recorder calls refund with quota
 	// of settlements that the ledger did not charge.
 	NewBilling func(refund func(fleet.BudgetID, fleet.Tokens)) (*billing.Recorder, error)
+	// Quarantine judges the requests on which backend servers crash. If it is nil, the node judges
+	// by its own evidence alone.
+	Quarantine *quarantine.Monitor
 	Log        *event.Log
 	Policies   Policies
 }
@@ -107,6 +111,9 @@
 // New starts a Server.
 func New(cfg Config) (*Server, error) {
 	cfg.Policies.fillDefaults()
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = newLocalQuarantine()
+	}
 	quotaManager := quota.New(quota.Config{
 		Pool: lease.New(lease.Config{
 			Holder:        cfg.Holder,
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -11,16 +11,15 @@
 	"time"
 
 	"github.com/labstack/echo/v5"
-	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/admission"
-	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/routing"
 )
 
 // exchange is one request of a caller, from its arrival to the end of the response.
@@ -36,6 +35,8 @@
 	arrived      time.Duration
 	// crashes counts the backend servers that crashed on the request before they responded.
 	crashes int
+	// identityHash is set by identity.
+	identityHash routing.PartID
 	// reserved is the quota reserved for the request.
 	reserved fleet.Tokens
 
@@ -168,18 +169,6 @@
 	return r.write(x.c)
 }
 
-// maxCrashes is the number of backend servers that may crash on one request. The request may be why.
-const maxCrashes = 2
-
-// crashed records the error of an attempt and reports whether no other backend server may get the
-// request. An attempt that has begun to respond shows that the request itself is sound.
-func (x *exchange) crashed(err error, begun bool) bool {
-	if !begun && eris.Is(err, backend.ErrCrashed) {
-		x.crashes++
-	}
-	return x.crashes >= maxCrashes
-}
-
 // abandon ends an exchange whose caller has disconnected. It closes the connection: after a plain
 // return, net/http would end the response like a finished one.
 func (x *exchange) abandon() {
@@ -230,6 +219,9 @@
 
 // place waits until the request is assigned to a backend server.
 func (x *exchange) place(key poolKey, request placement.Request) (assignment, *Refusal) {
+	if refusal := x.admitted(key); refusal != nil {
+		return assignment{}, refusal
+	}
 	deadline := x.arrived + x.server.cfg.Settings.DeadlineMillis.For(x.class)
 	assigned, refused := x.server.dispatch.acquire(x.ctx, dispatchRequest{
 		key:       key,
@@ -242,7 +234,12 @@
 		placement: request,
 	})
 	if refused == nil {
-		return assigned, nil
+		// It may have been suspended while it waited.
+		refusal := x.admitted(key)
+		if refusal != nil {
+			x.server.dispatch.finish(assigned, placement.OutcomeNeutral)
+		}
+		return assigned, refusal
 	}
 	message := map[admission.Reason]string{
 		admission.ReasonQueueFull: "the queue is full",
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -33,6 +33,7 @@
 	TypeBackendFailed       ErrorType = "backendFailed"
 	TypeNotRecorded         ErrorType = "billNotRecorded"
 	TypeRejected            ErrorType = "rejectedByBackend"
+	TypeSuspended           ErrorType = "requestSuspended"
 )
 
 // Refusal is the error response to a request.
--- a/entry/service.go
+++ b/entry/service.go
@@ -154,6 +154,7 @@
 			return r.refuse(refusal)
 		}
 		response, err := r.callOnce(assigned)
+		stop := r.attemptEnded(assigned.key, assigned.server, err, false)
 		if err == nil {
 			return r.billAndRespond(response)
 		}
@@ -163,7 +164,7 @@
 		last = err
 		mayHaveRun = mayHaveRun || !certainlyNotRun(err)
 		r.request.Avoid = append(r.request.Avoid, assigned.server.ID)
-		if r.crashed(err, false) {
+		if stop {
 			break
 		}
 	}
@@ -306,6 +307,7 @@
 		err = eris.Wrapf(backend.ErrInterrupted, "backend server %s: the response exceeds %d bytes", assigned.server.ID, maxStoredResponseBytes)
 	}
 	r.server.dispatch.finish(assigned, outcomeOf(ctx, err))
+	r.attemptEnded(assigned.key, assigned.server, err, false)
 	return response, err
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -30,7 +30,10 @@
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/orders"
+	"github.com/waxwingreel/waxwingreel/ownership"
+	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/settings"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -261,8 +264,12 @@
 		Settings:   *s.Entry,
 		Control:    n.controlClient,
 		NewBilling: n.newBilling,
-		Log:        n.cfg.Log,
-		Policies:   n.cfg.Policies,
+		Quarantine: quarantine.NewMonitor(quarantine.MonitorConfig{
+			Trial:  n.triesAfterSuspension,
+			Notify: n.controlClient.SendHeartbeat,
+		}),
+		Log:      n.cfg.Log,
+		Policies: n.cfg.Policies,
 	})
 	if err != nil {
 		return err
@@ -270,6 +277,7 @@
 	n.entry = server
 	n.serving.Store(server)
 	n.controlClient.SetHandler(server)
+	n.controlClient.SetQuarantine(server)
 	n.endpoint.HandleCall(billing.MethodHold, server.Billing().HandleHold)
 	n.endpoint.HandleCall(MethodBurn, func(context.Context, fleet.NodeID, []byte) (any, error) {
 		return server.Counts(), nil
@@ -278,6 +286,20 @@
 	return nil
 }
 
+// triesAfterSuspension reports whether this node is the one that tries a suspended request first.
+func (n *Node) triesAfterSuspension(request routing.PartID) bool {
+	var up []ownership.Node
+	for _, report := range n.controlClient.Roster() {
+		if report.TakesCallers() {
+			up = append(up, ownership.Node{
+				ID:         report.Holder.Node,
+				DataCentre: report.DataCentre,
+			})
+		}
+	}
+	return ownership.New(up).Owner(string(request), "") == n.cfg.Settings.Node
+}
+
 func (n *Node) newBilling(refund func(fleet.BudgetID, fleet.Tokens)) (*billing.Recorder, error) {
 	cfg := billing.Config{
 		Holder:     n.holder,
