--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
@@ -82,15 +83,14 @@
 	TakeLimits(first bool) []ratelimit.Report
 }
 
-// Quarantine handles what concerns requests on which backend servers crash. Its methods must not
-// block.
+// Quarantine judges the requests on which backend servers crash. Its methods must not block.
 type Quarantine interface {
-	// HandleQuarantine is called with the parts of prompts and the requests that a replica watches
-	// or has suspended, whenever they change.
-	HandleQuarantine(list quarantine.List)
-	// TakeEvidence returns what the node has observed of them since the last call. The argument is
-	// true for the first heartbeat of a subscription.
-	TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice)
+	// Apply is called with the parts of prompts and the requests that a replica watches or has
+	// suspended, whenever they change. It returns those whose suspension begins or ends.
+	Apply(list quarantine.List, now time.Duration) []quarantine.Notice
+	// TakeEvidence returns what the node has observed of them since the last call. The argument
+	// first is true for the first heartbeat of a subscription.
+	TakeEvidence(first bool, now time.Duration) ([]quarantine.Evidence, []quarantine.Notice)
 }
 
 // Store stores the configuration across restarts.
@@ -180,12 +180,27 @@
 	c.handler.Store(&h)
 }
 
-// SetQuarantine sets the handler of the quarantine and passes it the list that has come already, if
-// any: a replica sends a list only once.
+// SetQuarantine sets the quarantine and passes it the list that has come already, if any: a replica
+// sends a list only once.
 func (c *Client) SetQuarantine(q Quarantine) {
 	c.quarantine.Store(&q)
-	if list := c.quarantineList.Load(); list != nil {
-		q.HandleQuarantine(*list)
+	c.applyQuarantine(c.quarantineList.Load())
+}
+
+// applyQuarantine passes a list to the quarantine and logs what it changes.
+func (c *Client) applyQuarantine(list *quarantine.List) {
+	q := c.quarantine.Load()
+	if q == nil || list == nil {
+		return
+	}
+	for _, n := range (*q).Apply(*list, clock.SinceBoot()) {
+		c.cfg.Log.Warn(event.PartJudged).
+			Str("service", string(n.Service)).
+			Str("part", string(n.Part)).
+			Str("state", string(n.State)).
+			Int64("firstCrashMillis", n.CrashAgeMillis).
+			Int64("remainingMillis", n.RemainingMillis).
+			Msg("a suspension of a part of prompts, or of a request, has begun or ended")
 	}
 }
 
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
@@ -140,7 +141,7 @@
 			Routing: c.routingVersion(),
 		}
 		if q := c.quarantine.Load(); q != nil {
-			heartbeat.Evidence, heartbeat.Suspended = (*q).TakeEvidence(first)
+			heartbeat.Evidence, heartbeat.Suspended = (*q).TakeEvidence(first, clock.SinceBoot())
 		}
 		if watcher := c.watcher.Load(); watcher != nil {
 			heartbeat.Limits = (*watcher).TakeLimits(first)
@@ -210,9 +211,7 @@
 	// requests.
 	if update.Quarantine != nil {
 		c.quarantineList.Store(update.Quarantine)
-		if q := c.quarantine.Load(); q != nil {
-			(*q).HandleQuarantine(*update.Quarantine)
-		}
+		c.applyQuarantine(update.Quarantine)
 	}
 	if update.Limits != nil {
 		c.limits.Store(update.Limits)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -10,7 +10,6 @@
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
-	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/routing"
@@ -19,24 +18,6 @@
 // maxCrashes is the number of backend servers that may crash on one request. The request may be why.
 const maxCrashes = 2
 
-// HandleQuarantine implements controlclient.Quarantine.
-func (s *Server) HandleQuarantine(list quarantine.List) {
-	for _, n := range s.cfg.Quarantine.Apply(list, clock.SinceBoot()) {
-		s.cfg.Log.Warn(event.PartJudged).
-			Str("service", string(n.Service)).
-			Str("part", string(n.Part)).
-			Str("state", string(n.State)).
-			Int64("firstCrashMillis", n.CrashAgeMillis).
-			Int64("remainingMillis", n.RemainingMillis).
-			Msg("a suspension of a request has begun or ended")
-	}
-}
-
-// TakeEvidence implements controlclient.Quarantine.
-func (s *Server) TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice) {
-	return s.cfg.Quarantine.TakeEvidence(first, clock.SinceBoot())
-}
-
 // quarantineService returns the service under which the requests of a pool are judged.
 func (k poolKey) quarantineService() fleet.ServiceID {
 	if k.model != "" {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -7,7 +7,6 @@
 
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
-	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
 	"github.com/waxwingreel/waxwingreel/quarantine"
@@ -22,23 +21,8 @@
 // about the same time.
 const goneTTL = 500 * time.Millisecond
 
-// HandleQuarantine implements controlclient.Quarantine.
-func (s *Server) HandleQuarantine(list quarantine.List) {
-	for _, n := range s.quarantine.Apply(list, clock.SinceBoot()) {
-		s.cfg.Log.Warn(event.PartJudged).
-			Str("service", string(n.Service)).
-			Str("part", string(n.Part)).
-			Str("state", string(n.State)).
-			Int64("firstCrashMillis", n.CrashAgeMillis).
-			Int64("remainingMillis", n.RemainingMillis).
-			Msg("a suspension of a part of prompts, or of a request, has begun or ended")
-	}
-}
-
-// TakeEvidence implements controlclient.Quarantine.
-func (s *Server) TakeEvidence(first bool) ([]quarantine.Evidence, []quarantine.Notice) {
-	return s.quarantine.TakeEvidence(first, clock.SinceBoot())
-}
+// Quarantine returns the monitor that judges the requests on which instances crash.
+func (s *Server) Quarantine() *quarantine.Monitor { return s.quarantine }
 
 // suspects returns the parts of the request and its identity, each of which may be suspended.
 func (x *exchange) suspects() []routing.Part {
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/backend"
-	"github.com/waxwingreel/waxwingreel/billing"
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/commitlog"
@@ -30,10 +29,7 @@
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/operator"
 	"github.com/waxwingreel/waxwingreel/orders"
-	"github.com/waxwingreel/waxwingreel/ownership"
-	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/roster"
-	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/settings"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -256,65 +252,6 @@
 	return report
 }
 
-func (n *Node) openEntry() error {
-	s := n.cfg.Settings
-	server, err := entry.New(entry.Config{
-		Holder:     n.holder,
-		DataCentre: s.DataCentre,
-		Settings:   *s.Entry,
-		Control:    n.controlClient,
-		NewBilling: n.newBilling,
-		Quarantine: quarantine.NewMonitor(quarantine.MonitorConfig{
-			Trial:  n.triesAfterSuspension,
-			Notify: n.controlClient.SendHeartbeat,
-		}),
-		Log:      n.cfg.Log,
-		Policies: n.cfg.Policies,
-	})
-	if err != nil {
-		return err
-	}
-	n.entry = server
-	n.serving.Store(server)
-	n.controlClient.SetHandler(server)
-	n.controlClient.SetQuarantine(server)
-	n.endpoint.HandleCall(billing.MethodHold, server.Billing().HandleHold)
-	n.endpoint.HandleCall(MethodBurn, func(context.Context, fleet.NodeID, []byte) (any, error) {
-		return server.Counts(), nil
-	})
-	n.background.Go(n.join)
-	return nil
-}
-
-// triesAfterSuspension reports whether this node is the one that tries a suspended request first.
-func (n *Node) triesAfterSuspension(request routing.PartID) bool {
-	var up []ownership.Node
-	for _, report := range n.controlClient.Roster() {
-		if report.TakesCallers() {
-			up = append(up, ownership.Node{
-				ID:         report.Holder.Node,
-				DataCentre: report.DataCentre,
-			})
-		}
-	}
-	return ownership.New(up).Owner(string(request), "") == n.cfg.Settings.Node
-}
-
-func (n *Node) newBilling(refund func(fleet.BudgetID, fleet.Tokens)) (*billing.Recorder, error) {
-	cfg := billing.Config{
-		Holder:     n.holder,
-		DataCentre: n.cfg.Settings.DataCentre,
-		Ledger:     n.controlClient,
-		Peers:      n.endpoint,
-		Refund:     refund,
-		Log:        n.cfg.Log,
-	}
-	if n.folder != nil {
-		cfg.Disk = n.folder
-	}
-	return billing.New(cfg)
-}
-
 // join registers this incarnation of the node with the control group, retrying until it
 // succeeds or is rejected. The node receives leases only after that.
 func (n *Node) join() {
--- a/node/site.go
+++ b/node/site.go
@@ -110,7 +110,7 @@
 	n.endpoint.HandleCall(gateway.MethodList, g.HandleList)
 	n.endpoint.HandleMessage(gateway.MethodReturn, g.HandleReturn)
 	n.controlClient.SetHandler(g)
-	n.controlClient.SetQuarantine(g)
+	n.controlClient.SetQuarantine(g.Quarantine())
 	n.controlClient.SetWatcher(g)
 	n.startReader(discovery.Config{
 		Lister:   lister,
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -305,14 +305,7 @@
 }
 
 func playPattern(t *testing.T, fields []string, seed uint64) {
-	numbers := make([]float64, len(fields))
-	for i := 1; i < len(fields)-1; i++ {
-		n, err := strconv.ParseFloat(fields[i], 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		numbers[i] = n
-	}
+	numbers := parseNumbers(t, fields)
 	s := newSimulation(t, int(numbers[1]), int(numbers[2]), seed)
 	s.run(numbers[3], numbers[4], int(numbers[5]), fields[6])
 	if got := s.arrivalsTooLate(5); got > maxArrivals {
@@ -322,3 +315,17 @@
 		t.Errorf("seed %d: got %d of %d sound requests refused, want at most %d", seed, s.soundRefused, s.soundSent, limit)
 	}
 }
+
+// parseNumbers parses the fields of a pattern between its name and its trouble.
+func parseNumbers(t *testing.T, fields []string) []float64 {
+	t.Helper()
+	numbers := make([]float64, len(fields))
+	for i := 1; i < len(fields)-1; i++ {
+		n, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		numbers[i] = n
+	}
+	return numbers
+}
--- a/quarantine/repeated_test.go
+++ b/quarantine/repeated_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 )
@@ -30,14 +29,7 @@
 }
 
 func playRepeated(t *testing.T, fields []string, seed uint64) {
-	numbers := make([]float64, len(fields))
-	for i := 1; i < len(fields)-1; i++ {
-		n, err := strconv.ParseFloat(fields[i], 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		numbers[i] = n
-	}
+	numbers := parseNumbers(t, fields)
 	s := newSimulation(t, int(numbers[1]), int(numbers[2]), seed)
 	s.plain = true
 	s.run(numbers[3], numbers[4], 1, fields[5])
