--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -63,6 +63,7 @@
 	lateArrivals  int
 	statuses      map[int]int
 	refusals      map[refusalKey]*refusal
+	limits        map[string]*limitLog
 }
 
 func newAudit(h *harness) *audit {
@@ -72,6 +73,7 @@
 		consumed: map[string]int64{},
 		statuses: map[int]int{},
 		refusals: map[refusalKey]*refusal{},
+		limits:   map[string]*limitLog{},
 	}
 }
 
@@ -113,6 +115,9 @@
 		a.h.reportViolation("draining", "request %s reached an instance that has been draining for %s", r.id, now.Sub(draining))
 	}
 	a.checkRefusal(in, r, now)
+	if in.limited.Load() {
+		a.recordLimited(in, r, now)
+	}
 	if r.disconnected && faultFree && now.Sub(r.ended) > lateBound {
 		a.lateArrivals++
 	}
@@ -243,6 +248,7 @@
 		a.h.reportViolation("disconnected callers", "%d requests were forwarded %s after their callers had disconnected", a.lateArrivals, lateBound)
 	}
 	a.checkRetries()
+	a.checkLimits()
 	since := faultsCleared.Add(recoverBound)
 	sent, served := countAfter(a.sentAt, since), countAfter(a.servedAt, since)
 	if sent == 0 || served*4 < sent {
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -50,6 +50,8 @@
 	proxy     *faultproxy.TCP
 	listener  net.Listener
 	behaviour atomic.Int32
+	// limited is set while the instance names a limit.
+	limited atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -182,6 +184,9 @@
 	}
 	run := in.h.audit.recordExecution(in, r)
 	head := "Attempt-Id: " + id + "\r\nInstance-Signature: " + signature(in.id, id) + "\r\nInstance-Load: 1,0,16\r\n"
+	if in.limited.Load() {
+		head += "Server-Limit: " + strconv.Itoa(limitRate) + "\r\n"
+	}
 	in.mu.Lock()
 	if !in.drainingSince.IsZero() {
 		head += "Connection: close\r\nServer-Leaving: 1\r\n"
