--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -64,6 +64,10 @@
 	statuses      map[int]int
 	refusals      map[refusalKey]*refusal
 	limits        map[string]*limitLog
+	// deadlyCrashes are the times at which instances ran the deadly request, deadlyRepeats counts
+	// those that came too late.
+	deadlyCrashes []time.Time
+	deadlyRepeats int
 }
 
 func newAudit(h *harness) *audit {
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -135,9 +135,13 @@
 		return
 	}
 	r := c.newRequest()
+	c.exchange(r, r.kind != kindOnce && c.rng.IntN(disconnectOneIn) == 0)
+}
+
+// exchange sends a request over the open connection and receives its response, or disconnects early.
+func (c *caller) exchange(r *request, disconnects bool) {
 	c.h.audit.recordRequest(r)
 	limit := r.sent.Add(r.timeout + callerGrace)
-	disconnects := r.kind != kindOnce && c.rng.IntN(disconnectOneIn) == 0
 	if disconnects {
 		limit = r.sent.Add(time.Duration(10+c.rng.IntN(100)) * time.Millisecond)
 	}
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -183,6 +183,10 @@
 		return send("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n")
 	}
 	run := in.h.audit.recordExecution(in, r)
+	if body == deadlyBody {
+		in.crashOn(run.request)
+		return false
+	}
 	head := "Attempt-Id: " + id + "\r\nInstance-Signature: " + signature(in.id, id) + "\r\nInstance-Load: 1,0,16\r\n"
 	if in.limited.Load() {
 		head += "Server-Limit: " + strconv.Itoa(limitRate) + "\r\n"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,7 @@
 	h.workers.Go(h.operator.readUntilEnded)
 	h.workers.Go(h.watchProcesses)
 	h.workers.Go(h.limitInstance)
+	h.workers.Go(h.repeatDeadly)
 	h.injectFaults(append(h.drawFaults(), h.drawTroubles()...))
 	faultsCleared := time.Now()
 	t.Logf("seed %d: all faults removed at %s", seed, h.elapsed())
