Explain refusals for want of permits; scripted tests of what instances say of limits

A refusal while all instances are full says how many of them are full for the limits that they name, and explain tells it with the instance's event 508. The script of exclusions has limits, reports, permits and runs.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -179,7 +179,7 @@
 	case gateway.CauseInstanceFailed:
 		return fmt.Sprintf("instance %v ran it and failed", end.Fields["instance"])
 	case gateway.CauseInstanceBusy:
-		return "every instance that was tried refused it for lack of capacity; it has not run"
+		return busyVerdict(end)
 	case gateway.CauseRequestSuspended:
 		return fmt.Sprintf("instances had crashed on the same request before, whose identity %v is suspended for %v ms more; it was not sent to another instance",
 			end.Fields["suspendedPart"], end.Fields["suspendedMillis"])
@@ -204,6 +204,15 @@
 	return "cause: " + explanation.Cause
 }
 
+// busyVerdict explains a refusal for want of an instance that takes requests.
+func busyVerdict(end Line) string {
+	if numberField(end, "limitedInstances") > 0 {
+		return fmt.Sprintf("all instances were full, %v of them for the limits that they name, which other requests had used up; the first takes requests again in %v ms; it has not run",
+			end.Fields["limitedInstances"], end.Fields["fullMillis"])
+	}
+	return "every instance that was tried refused it for lack of capacity; it has not run"
+}
+
 // quotaVerdict explains why the node had no quota.
 func quotaVerdict(end Line, lines []Line) string {
 	reachable := end.Fields["controlFresh"]
@@ -231,6 +240,7 @@
 	event.ListReadable:     true,
 	event.LinesDropped:     true,
 	event.PartJudged:       true,
+	event.InstanceLimited:  true,
 }
 
 func describeNodeState(lines []Line, node string, from, to time.Time) []string {
@@ -241,7 +251,7 @@
 			continue
 		}
 		text := fmt.Sprintf("%s %v", line.Time.Format("15:04:05.000"), line.Fields["message"])
-		for _, field := range []string{"replica", "error", "version", "part", "state"} {
+		for _, field := range []string{"replica", "error", "version", "part", "instance", "state", "perSecond"} {
 			if value, ok := line.Fields[field]; ok && value != nil {
 				text += fmt.Sprintf(", %s %v", field, value)
 			}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -97,6 +97,27 @@
 	}
 }
 
+// TestLimitedInstances checks that a refusal for want of permits says so, and which instance had
+// named its limit.
+func TestLimitedInstances(t *testing.T) {
+	const log = `{"time":"2026-06-21T05:08:15.000Z","node":"n1","event":508,"service":"s","instance":"i-1","state":"named","perSecond":1.3,"message":"instance limits the requests that it takes from all nodes together"}
+{"time":"2026-06-21T05:08:16.000Z","node":"n1","event":406,"request":"r","status":503,"cause":"instanceBusy","fullMillis":700,"limitedInstances":1}
+`
+	lines, err := explain.Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	explanation, err := explain.Request("r", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"1 of them for the limits", "700 ms", "instance i-1, state named, perSecond 1.3"} {
+		if got := explanation.Text(); !strings.Contains(got, want) {
+			t.Errorf("got %q, want it to contain %q", got, want)
+		}
+	}
+}
+
 func readLog(t *testing.T) []explain.Line {
 	t.Helper()
 	file, err := os.Open("../examples/logs/incident.log")
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -282,12 +282,11 @@
 	})
 }
 
-// fullFor returns the time until the first instance of a service takes requests again, 0 unless
-// all have said that they are full.
-func (d *dispatcher) fullFor(service fleet.ServiceID) time.Duration {
-	wait := time.Duration(0)
-	d.DoAndWait(func() { wait = d.forecast(service).FullFor(clock.SinceBoot()) })
-	return wait
+// fullFor returns the time until the first instance of a service takes requests again, and how many
+// are full for want of permits. Both are 0 unless all are full.
+func (d *dispatcher) fullFor(service fleet.ServiceID) (wait time.Duration, limited int) {
+	d.DoAndWait(func() { wait, limited = d.forecast(service).FullFor(clock.SinceBoot()) })
+	return wait, limited
 }
 
 // maySend reports whether an instance that was chosen before may still be sent the request, for which
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,6 +90,8 @@
 	// instancesFullFor is the time until the first instance takes requests again, 0 unless all
 	// have said that they are full.
 	instancesFullFor time.Duration
+	// instancesLimited is how many of them are full for want of permits.
+	instancesLimited int
 	// suspendedFor is the time for which suspendedPart, a part of the prompt or the identity of the
 	// request, is suspended.
 	suspendedFor  time.Duration
@@ -324,7 +326,7 @@
 // failWithoutInstance ends a request for which there is no instance. If all of them have said for
 // how long they are full, the caller is told the earliest of these times.
 func (x *exchange) failWithoutInstance() {
-	x.instancesFullFor = x.s.dispatch.fullFor(x.service.ID)
+	x.instancesFullFor, x.instancesLimited = x.s.dispatch.fullFor(x.service.ID)
 	if x.instancesFullFor > 0 {
 		x.fail(CauseInstanceBusy)
 		return
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -95,7 +95,8 @@
 		request = longPrompt
 	}
 	placed, _, ok := x.chooseInstance(request)
-	response, wait := Response{}, s.dispatch.fullFor("s")
+	response := Response{}
+	wait, _ := s.dispatch.fullFor("s")
 	f.mu.Lock()
 	now := clock.SinceBoot()
 	switch {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -261,6 +261,10 @@
 		line = line.Str("suspendedPart", string(x.suspendedPart)).
 			Int64("suspendedMillis", x.suspendedFor.Milliseconds())
 	}
+	if x.instancesFullFor > 0 {
+		line = line.Int64("fullMillis", x.instancesFullFor.Milliseconds()).
+			Int("limitedInstances", x.instancesLimited)
+	}
 	line.Str("request", string(x.request.ID)).
 		Str("route", route).
 		Str("workspace", workspace).
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -119,22 +119,24 @@
 	return !wasFull
 }
 
-// FullFor returns the time until the first instance takes requests again. It is 0 unless all
-// instances that stay are full, by what they said or for want of permits.
-func (f *Forecast) FullFor(now time.Duration) time.Duration {
-	first := time.Duration(0)
+// FullFor returns the time until the first instance takes requests again, and how many of them are
+// full for want of permits. Both are 0 unless all instances that stay are full.
+func (f *Forecast) FullFor(now time.Duration) (first time.Duration, limited int) {
 	for _, s := range f.instances {
 		e, ok := f.exclusions[s.instance.ID]
 		switch {
 		case !s.stays(now) || ok && e.leaving:
 			continue
 		case !ok || now >= e.opensAt():
-			return 0
+			return 0, 0
 		case first == 0 || e.opensAt()-now < first:
 			first = e.opensAt() - now
 		}
+		if now < e.limit.deferredUntil {
+			limited++
+		}
 	}
-	return first
+	return first, limited
 }
 
 // MaySend reports whether a request that was assigned to an instance may still be sent there: the
--- a/placement/exclusion_test.go
+++ b/placement/exclusion_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -65,8 +66,36 @@
 		if got := s.picked(); !slices.Equal(got, words) {
 			s.t.Errorf("%s, at %s: got requests at %v, want them at %v", s.name, s.now, got, words)
 		}
+	case "limit":
+		f, id := s.f, fleet.BackendServerID(words[0])
+		f.RecordLimit(&Assignment{
+			Instance: f.instances[id].instance,
+			started:  s.millis(words[3]),
+		}, s.rate(words[1]), s.now)
+	case "report":
+		report := ratelimit.Report{
+			Instance:  fleet.BackendServerID(words[0]),
+			Limit:     s.rate(words[1]),
+			AgeMillis: s.millis(words[3]).Milliseconds(),
+		}
+		if len(words) > 4 {
+			report.Born = s.millis(words[4]).Milliseconds()
+		}
+		s.f.ApplyLimit(report, s.now)
+	case "defer":
+		s.f.Defer(fleet.BackendServerID(words[0]), s.millis(words[1]), s.now)
+	case "limited":
+		for _, id := range s.f.instanceIDs {
+			got, want := s.f.limitOf(s.f.instances[id].instance, s.now) != nil, slices.Contains(words, string(id))
+			if got != want {
+				s.t.Errorf("%s, at %s: got %s limited: %t, want %t", s.name, s.now, id, got, want)
+			}
+		}
+	case "sends":
+		s.checkMaySend(words)
 	case "fullFor":
-		if got, want := s.f.FullFor(s.now), s.millis(words[0]); got != want {
+		got, _ := s.f.FullFor(s.now)
+		if want := s.millis(words[0]); got != want {
 			s.t.Errorf("%s, at %s: got a wait of %s, want %s", s.name, s.now, got, want)
 		}
 	default:
@@ -74,6 +103,35 @@
 	}
 }
 
+// checkMaySend checks whether a request that was placed on an instance may still be sent there, with
+// a permit and without one.
+func (s *exclusionScript) checkMaySend(words []string) {
+	s.t.Helper()
+	p := &Assignment{Instance: routing.Instance{ID: fleet.BackendServerID(words[0])}}
+	for name, permitted := range map[string]bool{
+		"permitted": true,
+		"unasked":   false,
+	} {
+		got, want := s.f.MaySend(p, permitted, s.now), slices.Contains(words[1:], name)
+		if got != want {
+			s.t.Errorf("%s, at %s: got %s request sent to %s: %t, want %t", s.name, s.now, name, words[0], got, want)
+		}
+	}
+}
+
+// rate parses a limit, nil for none.
+func (s *exclusionScript) rate(text string) *routing.Rate {
+	if text == "none" {
+		return nil
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	rate := routing.Rate(n)
+	return &rate
+}
+
 func (s *exclusionScript) millis(text string) time.Duration {
 	n, err := strconv.Atoi(text)
 	if err != nil {
