Quarantine: crashes of many instances at once still count against a repeated request

When responses of more than two instances break at one node within 100 ms, the network is taken to be at fault and nothing is reported. A failure of the network breaks many requests, but each of them once; so one that was broken before is still reported.

--- a/quarantine/monitor.go
+++ b/quarantine/monitor.go
@@ -110,7 +110,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.broken[c.Engine] = now
-	if m.brokenAtOnce(now) > maxEnginesAtOnce || len(c.Parts) == 0 && c.Identity == "" {
+	if m.brokenAtOnce(now) > maxEnginesAtOnce {
+		c.Parts = nil
+		// A failure of the network breaks many requests, but each of them once.
+		if m.own.Crashes(Key{
+			Service: c.Service,
+			Part:    c.Identity,
+		}) == 0 {
+			return
+		}
+	}
+	if len(c.Parts) == 0 && c.Identity == "" {
 		return
 	}
 	e := Evidence{
