--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -248,6 +249,25 @@
 	}
 }
 
+// TestLimitKnownBeforeInstanceIsListed tells a node that has just started of a limit before it has a
+// list of instances. Its first request to the instance must need a permit.
+func TestLimitKnownBeforeInstanceIsListed(t *testing.T) {
+	_, servers := newMesh(t, 1)
+	s := servers[0]
+	limit := routing.Rate(1)
+	s.HandleLimits(ratelimit.List{Reports: []ratelimit.Report{{
+		Service:  "s",
+		Instance: limitedInstance,
+		Limit:    &limit,
+	}}})
+	f := newLimitedFleet(t, servers, limit, 0)
+	f.send(s)
+	f.send(s)
+	if got := f.atLimited(0); got > 1 {
+		t.Errorf("got %d requests at once at an instance that takes one a second, want at most 1", got)
+	}
+}
+
 // TestLimitEnds lets an instance stop naming its limit: it must soon get its part of the requests
 // again, from all nodes.
 func TestLimitEnds(t *testing.T) {
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -65,6 +65,9 @@
 	most := int(1.5*limitRate*limitWindow.Seconds()) + limitSlack
 	for id, log := range a.limits {
 		slices.SortFunc(log.arrivals, time.Time.Compare)
+		if n := len(log.arrivals); n > 1 {
+			a.h.t.Logf("seed %d: %s takes %d requests a second and got %.1f from VMs without faults", a.h.seed, id, limitRate, float64(n-1)/log.arrivals[n-1].Sub(log.arrivals[0]).Seconds())
+		}
 		first := 0
 		for i, at := range log.arrivals {
 			for at.Sub(log.arrivals[first]) > limitWindow {
