--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 
@@ -50,7 +51,8 @@
 
 // attemptEnded records what the outcome of an attempt says of the request, and reports whether no
 // other backend server may get it. An attempt that has begun to respond shows that the request itself
-// is sound.
+// is sound. A call that runs at most once goes on when its caller has left, and so does the check
+// whether its server has crashed.
 func (x *exchange) attemptEnded(key poolKey, server catalog.BackendServer, err error, begun bool) (stop bool) {
 	q, service, now := x.server.cfg.Quarantine, key.quarantineService(), clock.SinceBoot()
 	switch {
@@ -66,7 +68,7 @@
 		Service:  service,
 		Engine:   server.ID,
 		Identity: x.identity(),
-		Gone:     parseErr == nil && backend.Gone(x.ctx, address),
+		Gone:     parseErr == nil && backend.Gone(context.WithoutCancel(x.ctx), address),
 	}, now)
 	return x.crashes >= maxCrashes || !q.MayRepeat(service, []routing.Part{{ID: x.identity()}})
 }
