--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// permitTimeout allows a round trip between data centres of a region.
+	// permitTimeout allows a round trip between the data centres of a region.
 	permitTimeout = 100 * time.Millisecond
 	// permitPatience limits the time in which a request is refused permits by one instance after the
 	// other.
@@ -79,8 +79,8 @@
 	}
 }
 
-// request asks for a permit. Without an owner in reach this node takes its share of the limit, of
-// which it assumes that nodes have parts.
+// request asks for a permit. Without an owner in reach this node has a share of the limit, as one of a
+// number of nodes.
 func (p *permits) request(ctx context.Context, r PermitRequest, nodes int) ratelimit.Decision {
 	if decision, ok := p.requestFromOwner(ctx, r); ok {
 		p.count(decision, "owner")
