Logs: the software version of an instance, and which stream a request resumes

The adapter reads the list's version and the caller's Resumes for that; nothing decides by them yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,15 +106,12 @@
 		Instance:    instance.ID,
 		Timeout:     x.deadline - clock.SinceBoot(),
 		Priority:    -1,
-		LastEventID: x.request.LastEventID,
+		LastEventID: x.resumePoint(),
 		BodyBytes:   len(x.body),
 	}
 	if x.r.ContentLength == 0 && len(x.body) == 0 && (x.r.Method == http.MethodGet || x.r.Method == http.MethodHead) {
 		forward.BodyBytes = -1
 	}
-	if x.lastEvent != "" {
-		forward.LastEventID = x.lastEvent
-	}
 	if x.workspace != nil {
 		forward.Workspace = x.workspace.ID
 	}
@@ -136,6 +133,14 @@
 	}
 }
 
+// resumePoint returns the id of the last event that the caller has, empty if it has none.
+func (x *exchange) resumePoint() string {
+	if x.lastEvent != "" {
+		return x.lastEvent
+	}
+	return x.request.LastEventID
+}
+
 // priority returns the request's rank at the model engine. A workspace's priority takes
 // precedence over its route's.
 func (x *exchange) priority() int {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -120,6 +120,7 @@
 			Str("service", string(i.Service)).
 			Str("address", i.Address.String()).
 			Str("dataCentre", string(i.DataCentre)).
+			Str("software", string(i.Software)).
 			Bool("leaving", i.Draining).
 			Str("reader", string(list.Reader)).
 			Int64("ageMillis", list.AgeMillis).
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -180,6 +180,9 @@
 		Str("route", string(x.route.Name)).
 		Str("service", string(x.service.ID)).
 		Str("instance", string(p.Instance.ID)).
+		Str("software", string(p.Instance.Software)).
+		Str("resumes", string(x.request.Resumes)).
+		Str("afterEvent", x.resumePoint()).
 		Int("attempt", x.attempts+1).
 		Int64("predictedMillis", p.Predicted.Milliseconds()).
 		Int64("uncachedTokens", int64(p.Uncached)).
--- a/routing/request.go
+++ b/routing/request.go
@@ -20,6 +20,10 @@
 	Tokens fleet.Tokens `json:"tokens"`
 }
 
+// SoftwareVersion is the version of a backend server's software, which says nothing of its models.
+// Versions have no order. It is empty if it is not known.
+type SoftwareVersion string
+
 // Rate is a number of requests a second.
 type Rate float64
 
@@ -36,6 +40,9 @@
 	Parts     []Part
 	// LastEventID is the id of the last event that the caller received from an earlier attempt.
 	LastEventID string
+	// Resumes is the caller's attempt that brought the first event of the stream, empty unless the
+	// caller resumes one.
+	Resumes RequestID
 }
 
 // MaxCost returns the maximum number of tokens that the request may consume.
@@ -56,4 +63,6 @@
 	// Born is the time of day at which this run of the server started, in Unix milliseconds
 	// by the server's clock. It is 0 if the list does not contain it.
 	Born int64 `json:"born,omitempty"`
+	// Software is the version of the server's software.
+	Software SoftwareVersion `json:"software,omitempty"`
 }
