Streams go on only at the software version that began them

Cause: the list's version and the caller's Resumes decided nothing; the continuation of a stream was placed like a new request, by the state of the node that got it.

Now the first event of a resumable stream is recorded with its origin (package origin). The record goes with a heartbeat to the control replicas, which pass it on to each other, so that it outlives the entry nodes. A stream without a record goes on only if its service has had one version for as long as a record is kept; versions that have left the list count. Otherwise the caller gets 503 at once, versionGone or originUnknown.

The instances of exchange_test.go get a version: one of which the list tells none may continue only its own streams.

--- a/control/group.go
+++ b/control/group.go
@@ -216,6 +216,7 @@
 			r.notify(effects{nodes: true})
 		}
 	}
+	r.passOnOrigins(now)
 	interval := announceInterval
 	if r.announceSoon || r.selfForming() && r.core.Leader() == 0 {
 		interval = urgentAnnounceInterval
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -7,6 +7,7 @@
 	"github.com/waxwingreel/waxwingreel/consensus"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -28,6 +29,11 @@
 	// MethodLimits sends what an entry node knows of limits, a []ratelimit.Report, to another
 	// replica.
 	MethodLimits wire.Method = "limits"
+	// MethodOrigins sends streams that entry nodes have begun, a []origin.Record, to another replica.
+	MethodOrigins wire.Method = "origins"
+	// MethodFindOrigin asks a replica where a stream began. The request is an origin.Key, the response
+	// an OriginResponse.
+	MethodFindOrigin wire.Method = "findOrigin"
 	// MethodSubmit submits a Command and returns a SubmitResponse.
 	MethodSubmit wire.Method = "submit"
 	// MethodQuery sends a Query and returns a QueryResponse.
@@ -115,6 +121,15 @@
 	// Unchanged is set if the instances equal those last sent on this subscription.
 	// Instances is then empty.
 	Unchanged bool `json:"same,omitempty"`
+	// Versions has the software versions that services have had.
+	Versions *origin.Report `json:"versions,omitempty"`
+}
+
+// OriginResponse is the response to MethodFindOrigin, whose request is an origin.Key.
+type OriginResponse struct {
+	Known    bool          `json:"known"`
+	Record   origin.Record `json:"record"`
+	Versions origin.Report `json:"versions"`
 }
 
 // ReplicaStatus is the status of one replica as shown to operators.
@@ -146,6 +161,10 @@
 	// Limits has what responses to the node have newly said of limits. The first heartbeat of a
 	// subscription has all that the node knows from responses.
 	Limits []ratelimit.Report `json:"limits,omitempty"`
+	// Origins has the streams that the node has newly begun. The first heartbeat of a subscription
+	// has the latest that the node knows, and Versions, for a replica that has started since.
+	Origins  []origin.Record `json:"origins,omitempty"`
+	Versions *origin.Report  `json:"versions,omitempty"`
 }
 
 // Update is sent by a control replica to an entry node. Parts that have not changed
--- a/control/replica.go
+++ b/control/replica.go
@@ -17,6 +17,7 @@
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/orders"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -101,6 +102,12 @@
 	quarantine quarantine.Table
 	// limits has what entry nodes know of the limits of instances.
 	limits ratelimit.Table
+	// origins has the streams that entry nodes have begun, newOrigins those that the other replicas
+	// have not been told yet. versions has the software versions of the services.
+	origins         origin.Table
+	newOrigins      []origin.Record
+	originsPassedOn time.Duration
+	versions        origin.History
 
 	peers map[fleet.NodeID]Announcement
 	// peerAnnouncedAt is when the latest announcement of each peer arrived.
--- a/control/serve.go
+++ b/control/serve.go
@@ -66,6 +66,7 @@
 			r.do(func() { r.applyLimits(reports) })
 		}
 	})
+	r.handleOrigins(endpoint)
 	endpoint.HandleCall(MethodSubmit, func(ctx context.Context, _ fleet.NodeID, body []byte) (any, error) {
 		command := Command{}
 		if err := wire.Decode(body, &command); err != nil {
@@ -240,6 +241,11 @@
 			r.applyLimits(heartbeat.Limits)
 			r.passOnLimits(heartbeat.Limits)
 		}
+		r.applyOrigins(heartbeat.Origins)
+		r.newOrigins = append(r.newOrigins, heartbeat.Origins...)
+		if heartbeat.Versions != nil {
+			r.versions.Merge(*heartbeat.Versions, now)
+		}
 	})
 }
 
@@ -380,7 +386,11 @@
 	if number >= r.instancesChanged {
 		list.Unchanged = true
 		list.Instances = nil
+		list.Versions = nil
+		return &list, r.instancesNumber
 	}
+	versions := r.versions.Report(now)
+	list.Versions = &versions
 	return &list, r.instancesNumber
 }
 
@@ -388,10 +398,12 @@
 // to the subscribers.
 func (r *Replica) SetInstances(instances []routing.Instance) {
 	r.do(func() {
+		versions := r.versions.Report(clock.SinceBoot())
 		list := InstanceList{
 			Reader:    r.cfg.Node,
 			Number:    r.instancesNumber + 1,
 			Instances: instances,
+			Versions:  &versions,
 		}
 		r.applyInstances(list)
 		for _, a := range r.peers {
@@ -408,6 +420,10 @@
 	}
 	r.instances = list
 	r.instancesAt = clock.SinceBoot()
+	if list.Versions != nil {
+		r.versions.Merge(*list.Versions, r.instancesAt)
+	}
+	r.versions.Observe(list.Instances, r.instancesAt)
 	r.notify(effects{routing: true})
 }
 
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -81,6 +82,9 @@
 	// TakeLimits returns what responses to the node have said of limits since the last call. The
 	// argument is true for the first heartbeat of a subscription.
 	TakeLimits(first bool) []ratelimit.Report
+	// TakeOrigins returns the streams that the node has begun since the last call. With first set it
+	// returns the latest that the node knows, and the software versions that services have had.
+	TakeOrigins(first bool) ([]origin.Record, *origin.Report)
 }
 
 // Quarantine judges the requests on which backend servers crash. Its methods must not block.
@@ -137,8 +141,10 @@
 	entryNodeCount atomic.Int64
 	// upNodes are the entry nodes that are up in the latest roster. It is owned by
 	// the goroutine that receives updates.
-	upNodes            []fleet.NodeID
-	leader             atomic.Pointer[netip.AddrPort]
+	upNodes []fleet.NodeID
+	leader  atomic.Pointer[netip.AddrPort]
+	// followed is the replica of the current subscription.
+	followed           atomic.Pointer[netip.AddrPort]
 	controlReachable   atomic.Bool
 	rejected           atomic.Bool
 	heartbeatRequested chan struct{}
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -116,6 +116,7 @@
 		return opened.address, false, opened.err
 	}
 	defer opened.ch.Close()
+	c.followed.Store(&opened.address)
 	heartbeats := sync.WaitGroup{}
 	heartbeats.Go(func() {
 		c.sendHeartbeats(ctx, opened.ch)
@@ -145,6 +146,7 @@
 		}
 		if watcher := c.watcher.Load(); watcher != nil {
 			heartbeat.Limits = (*watcher).TakeLimits(first)
+			heartbeat.Origins, heartbeat.Versions = (*watcher).TakeOrigins(first)
 		}
 		if ch.Send(heartbeat) != nil {
 			return
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,9 +47,9 @@
 	if !x.replaceable() {
 		return func() bool { return true }
 	}
-	half := (x.deadline - clock.SinceBoot()) / 2
+	half, origin := (x.deadline-clock.SinceBoot())/2, x.origin
 	return time.AfterFunc(half, func() {
-		if x.s.dispatch.takeReplacement(x.service.ID, placed) {
+		if x.s.dispatch.takeReplacement(x.service.ID, placed, origin) {
 			cancel(errAttemptReplaced)
 		}
 	}).Stop
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -222,12 +222,12 @@
 // takeReplacement reports whether to replace an attempt that has no response yet: its
 // instance has responded to no request since the attempt started, another instance is usable,
 // and the retry budget has a retry left, which is taken.
-func (d *dispatcher) takeReplacement(service fleet.ServiceID, p *placement.Assignment) bool {
+func (d *dispatcher) takeReplacement(service fleet.ServiceID, p *placement.Assignment, origin *routing.Origin) bool {
 	allowed := false
 	d.DoAndWait(func() {
 		f := d.forecast(service)
 		now := clock.SinceBoot()
-		allowed = f.Unresponsive(p) && f.Usable(now) > 1 && d.retryBudget(service).Retry()
+		allowed = f.Unresponsive(p) && f.Usable(origin, now) > 1 && d.retryBudget(service).Retry()
 	})
 	return allowed
 }
@@ -284,12 +284,19 @@
 }
 
 // fullFor returns the time until the first instance of a service takes requests again, and how many
-// are full for want of permits. Both are 0 unless all are full.
-func (d *dispatcher) fullFor(service fleet.ServiceID) (wait time.Duration, limited int) {
-	d.DoAndWait(func() { wait, limited = d.forecast(service).FullFor(clock.SinceBoot()) })
+// are full for want of permits. Both are 0 unless all that may continue a stream of the origin are full.
+func (d *dispatcher) fullFor(service fleet.ServiceID, origin *routing.Origin) (wait time.Duration, limited int) {
+	d.DoAndWait(func() { wait, limited = d.forecast(service).FullFor(origin, clock.SinceBoot()) })
 	return wait, limited
 }
 
+// serves reports whether an instance in the list may continue the streams of an origin.
+func (d *dispatcher) serves(origin routing.Origin) bool {
+	serves := false
+	d.DoAndWait(func() { serves = d.forecast(origin.Service).Serves(origin, clock.SinceBoot()) })
+	return serves
+}
+
 // maySend reports whether an instance that was chosen before may still be sent the request, for which
 // there may be a permit.
 func (d *dispatcher) maySend(service fleet.ServiceID, p *placement.Assignment, permitted bool) bool {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -77,6 +77,9 @@
 	headerSent bool
 	events     int
 	lastEvent  string
+	// origin is where the stream began, nil until its first event was delivered by this response or
+	// an earlier one. Other software versions must not continue it.
+	origin *routing.Origin
 	// framing is that of the last response read, and unfinishedBytes what came of an event
 	// before the response ended.
 	framing         backend.Framing
@@ -130,7 +133,7 @@
 	ctx, cancel := context.WithTimeoutCause(x.r.Context(), remaining, errDeadline)
 	defer cancel()
 	x.ctx = ctx
-	if !x.reserve() {
+	if !x.findOrigin() || !x.reserve() {
 		return
 	}
 	defer x.release()
@@ -300,6 +303,7 @@
 			Parts:  x.request.Parts,
 			Prompt: x.request.Prompt,
 			Avoid:  x.avoidInstances,
+			Origin: x.origin,
 		})
 		if !ok {
 			x.failWithoutInstance()
@@ -326,10 +330,14 @@
 // failWithoutInstance ends a request for which there is no instance. If all of them have said for
 // how long they are full, the caller is told the earliest of these times.
 func (x *exchange) failWithoutInstance() {
-	x.instancesFullFor, x.instancesLimited = x.s.dispatch.fullFor(x.service.ID)
-	if x.instancesFullFor > 0 {
+	x.instancesFullFor, x.instancesLimited = x.s.dispatch.fullFor(x.service.ID, x.origin)
+	switch {
+	case x.instancesFullFor > 0:
 		x.fail(CauseInstanceBusy)
 		return
+	case x.origin != nil && !x.s.dispatch.serves(*x.origin):
+		x.fail(CauseVersionGone)
+		return
 	}
 	x.fail(CauseNoInstance)
 }
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -17,9 +17,11 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/controlclient"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/gateway"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/platform"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
@@ -43,6 +45,10 @@
 func (unreachableControl) Roster() []roster.Report { return nil }
 func (unreachableControl) SendHeartbeat()          {}
 
+func (unreachableControl) FindOrigin(context.Context, origin.Key) (origin.Answer, error) {
+	return origin.Answer{}, controlclient.ErrUnavailable
+}
+
 // scriptedInstances are test instances of a service. Each request, at whichever instance,
 // is handled by the next action of the script; after the end of the script by ok.
 type scriptedInstances struct {
@@ -81,6 +87,8 @@
 			Service: "s",
 			Address: listener.Addr().(*net.TCPAddr).AddrPort(),
 			Slots:   4,
+			// An instance of unknown software may not continue the streams of another one.
+			Software: "v1",
 		})
 		go func() {
 			for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/metrics"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/quota"
 	"github.com/waxwingreel/waxwingreel/roster"
@@ -52,6 +53,8 @@
 	Roster() []roster.Report
 	// SendHeartbeat requests a heartbeat at once.
 	SendHeartbeat()
+	// FindOrigin asks control replicas where a stream began. It fails if none responds.
+	FindOrigin(ctx context.Context, key origin.Key) (origin.Answer, error)
 }
 
 // Config configures a Server.
@@ -89,6 +92,7 @@
 	peers        *peers
 	claims       *claimRegistry
 	permits      *permits
+	origins      *origins
 	quarantine   *quarantine.Monitor
 	crashes      crashChecks
 	quotaManager atomic.Pointer[quota.Manager]
@@ -149,6 +153,7 @@
 	}
 	s.claims = newClaimRegistry(cfg, s.peers)
 	s.permits = newPermits(cfg, s.claims)
+	s.origins = newOrigins(cfg)
 	s.quarantine = quarantine.NewMonitor(quarantine.MonitorConfig{
 		Trial: func(part routing.PartID) bool {
 			return s.peers.ownerSet().Owner(string(part), "") == cfg.Node
@@ -292,6 +297,7 @@
 		return
 	}
 	s.listReadAt = readAt
+	s.origins.observe(list, readAt)
 	s.hasList.Store(true)
 	if !slices.Equal(s.heldInstances, list.Instances) {
 		s.heldInstances = list.Instances
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -97,7 +97,7 @@
 	}
 	placed, _, ok := x.chooseInstance(request)
 	response := Response{}
-	wait, _ := s.dispatch.fullFor("s")
+	wait, _ := s.dispatch.fullFor("s", nil)
 	f.mu.Lock()
 	now := clock.SinceBoot()
 	switch {
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -13,6 +13,7 @@
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/discovery"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -46,6 +47,8 @@
 	Same      bool               `json:"same,omitempty"`
 	AgeMillis int64              `json:"ageMillis"`
 	Instances []routing.Instance `json:"instances,omitempty"`
+	// Versions has the software versions that services have had.
+	Versions *origin.Report `json:"versions,omitempty"`
 }
 
 // ListDue reports whether this node has to read the list of instances itself. A node that has no
@@ -125,6 +128,7 @@
 	s.applyList(control.InstanceList{
 		AgeMillis: response.AgeMillis,
 		Instances: response.Instances,
+		Versions:  response.Versions,
 	})
 	return true
 }
@@ -141,6 +145,7 @@
 		Known:     len(s.heldInstances) > 0,
 		Same:      request.Digest == s.heldDigest,
 		AgeMillis: (clock.SinceBoot() - s.listReadAt).Milliseconds(),
+		Versions:  s.origins.report(),
 	}
 	if !response.Same {
 		response.Instances = s.heldInstances
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -17,6 +17,7 @@
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/wire"
@@ -154,6 +155,11 @@
 	}
 }
 
+// FindOrigin implements ControlClient. The control group of a mesh knows no streams.
+func (m *mesh) FindOrigin(context.Context, origin.Key) (origin.Answer, error) {
+	return origin.Answer{}, nil
+}
+
 // ControlReachable implements ControlClient.
 func (m *mesh) ControlReachable() bool {
 	m.mu.Lock()
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -53,7 +53,13 @@
 	CausePartSuspended Cause = "partSuspended"
 	// CauseRequestSuspended means that instances have crashed on this request before.
 	CauseRequestSuspended Cause = "requestSuspended"
-	CauseDeadline         Cause = "deadline"
+	// CauseVersionGone means that a stream cannot be continued, since no instance has the software
+	// version that began it.
+	CauseVersionGone Cause = "versionGone"
+	// CauseOriginUnknown means that a stream cannot be continued, since the service has had several
+	// software versions and it is not known which one began it.
+	CauseOriginUnknown Cause = "originUnknown"
+	CauseDeadline      Cause = "deadline"
 	// CauseCallerDisconnected means that the caller closed its connection before the end.
 	CauseCallerDisconnected Cause = "callerGone"
 )
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,6 +39,9 @@
 				x.responseStarted(placed, response.Load)
 				x.beginStream(in)
 			}
+			if events.eventCount > 0 {
+				x.recordOrigin(placed.Instance)
+			}
 			if !x.sendEvents(chunk, events.eventCount, events.lastID) {
 				in.Finish(false)
 				x.attemptEnded(placed, placement.OutcomeNeutral)
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,9 +19,12 @@
 	"testing"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/controlclient"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/gateway"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/platform"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -73,12 +77,59 @@
 	}
 }
 
+// versionsControl is the ControlClient of a node whose heartbeats reach a control replica. It can be
+// cut off.
+type versionsControl struct {
+	unreachableControl
+	replica *versionsReplica
+	node    string
+}
+
+// versionsReplica takes the place of the control replicas.
+type versionsReplica struct {
+	mu       sync.Mutex
+	cutOff   bool
+	streams  origin.Table
+	versions origin.History
+	nodes    map[string]*gateway.Server
+}
+
+// SendHeartbeat implements gateway.ControlClient.
+func (c versionsControl) SendHeartbeat() {
+	c.replica.mu.Lock()
+	defer c.replica.mu.Unlock()
+	s := c.replica.nodes[c.node]
+	if c.replica.cutOff || s == nil {
+		return
+	}
+	records, _ := s.TakeOrigins(false)
+	for _, r := range records {
+		c.replica.streams.Add(r, clock.SinceBoot())
+	}
+}
+
+// FindOrigin implements gateway.ControlClient.
+func (c versionsControl) FindOrigin(_ context.Context, key origin.Key) (origin.Answer, error) {
+	c.replica.mu.Lock()
+	defer c.replica.mu.Unlock()
+	if c.replica.cutOff {
+		return origin.Answer{}, controlclient.ErrUnavailable
+	}
+	now := clock.SinceBoot()
+	answer := origin.Answer{Versions: []origin.Report{c.replica.versions.Report(now)}}
+	if r, ok := c.replica.streams.Find(key, now); ok {
+		answer.Record = &r
+	}
+	return answer, nil
+}
+
 // versionsCase is a fleet of two nodes and the caller of one stream at a time.
 type versionsCase struct {
 	t         *testing.T
 	instances map[string]*versionedInstance
 	nodes     map[string]*gateway.Server
 	addresses map[string]string
+	replica   *versionsReplica
 	// attempts is the number of the caller's attempts, began the id of the one that brought the
 	// first event, and versions has the software versions of the events so far.
 	attempts int
@@ -92,6 +143,7 @@
 		instances: map[string]*versionedInstance{},
 		nodes:     map[string]*gateway.Server{},
 		addresses: map[string]string{},
+		replica:   &versionsReplica{nodes: map[string]*gateway.Server{}},
 	}
 	for _, text := range strings.Fields(instances) {
 		id, software, _ := strings.Cut(strings.TrimSuffix(text, "*"), ":")
@@ -107,7 +159,10 @@
 	s := gateway.New(gateway.Config{
 		Node:       fleet.NodeID(node),
 		DataCentre: "local",
-		Control:    unreachableControl{},
+		Control: versionsControl{
+			replica: c.replica,
+			node:    node,
+		},
 		Protocol:   platform.Protocol{},
 		RetryRatio: 0.2,
 		RetrySlack: 1000,
@@ -135,6 +190,9 @@
 		_ = s.Close(ctx)
 	})
 	c.nodes[node], c.addresses[node] = s, server.URL
+	c.replica.mu.Lock()
+	defer c.replica.mu.Unlock()
+	c.replica.nodes[node] = s
 }
 
 // run performs one step.
@@ -161,9 +219,13 @@
 				c.startNode(node)
 			}
 		}
+	case "control":
+		c.setControl(fields[1])
 	case "begin":
 		c.began, c.versions = "", nil
 		c.request(fields[1], step, want)
+		// The node's report of the stream is under way for a moment.
+		time.Sleep(50 * time.Millisecond)
 	case "resume":
 		c.request(fields[1], step, want)
 	default:
@@ -171,6 +233,14 @@
 	}
 }
 
+// setControl cuts the nodes off from the control replica, or makes it start again without memory.
+func (c *versionsCase) setControl(state string) {
+	c.replica.mu.Lock()
+	defer c.replica.mu.Unlock()
+	c.replica.cutOff = state == "off"
+	c.replica.streams = origin.Table{}
+}
+
 // request makes one attempt at a node, and compares what the caller has by then.
 func (c *versionsCase) request(node, step, want string) {
 	c.attempts++
@@ -192,7 +262,8 @@
 	end := "whole"
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
-		if software, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+		if software, ok := strings.CutPrefix(lines.Text(), "data:"); ok {
+			software = cmp.Or(strings.TrimSpace(software), "?")
 			c.versions = append(c.versions, software)
 			if c.began == "" {
 				c.began = id
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -120,12 +120,13 @@
 }
 
 // FullFor returns the time until the first instance takes requests again, and how many of them are
-// full for want of permits. Both are 0 unless all instances that stay are full.
-func (f *Forecast) FullFor(now time.Duration) (first time.Duration, limited int) {
+// full for want of permits. Both are 0 unless all instances that stay are full. With an origin only the
+// instances count that may continue its streams.
+func (f *Forecast) FullFor(origin *routing.Origin, now time.Duration) (first time.Duration, limited int) {
 	for _, s := range f.instances {
 		e, ok := f.exclusions[s.instance.ID]
 		switch {
-		case !s.stays(now) || ok && e.leaving:
+		case !s.stays(now) || ok && e.leaving || !admits(origin, s.instance):
 			continue
 		case !ok || now >= e.opensAt():
 			return 0, 0
@@ -139,6 +140,18 @@
 	return first, limited
 }
 
+// Serves reports whether an instance that stays in the list may continue the streams of an origin,
+// now or after a while.
+func (f *Forecast) Serves(origin routing.Origin, now time.Duration) bool {
+	for _, s := range f.instances {
+		e, ok := f.exclusions[s.instance.ID]
+		if s.stays(now) && !(ok && e.leaving) && origin.Admits(s.instance) {
+			return true
+		}
+	}
+	return false
+}
+
 // MaySend reports whether a request that was assigned to an instance may still be sent there: the
 // instance is listed and not draining, has not said that it takes no requests now, and has not named
 // a limit since, unless there is a permit for the request.
--- a/placement/exclusion_test.go
+++ b/placement/exclusion_test.go
@@ -94,7 +94,7 @@
 	case "sends":
 		s.checkMaySend(words)
 	case "fullFor":
-		got, _ := s.f.FullFor(s.now)
+		got, _ := s.f.FullFor(nil, s.now)
 		if want := s.millis(words[0]); got != want {
 			s.t.Errorf("%s, at %s: got a wait of %s, want %s", s.name, s.now, got, want)
 		}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -126,6 +126,9 @@
 	Prompt fleet.Tokens
 	// Avoid lists instances that must not be chosen.
 	Avoid []fleet.BackendServerID
+	// Origin is where the stream began that the request continues, nil for any other request. Only
+	// instances that it admits are chosen.
+	Origin *routing.Origin
 	// Current is the instance chosen before, if any. Another instance is chosen only if
 	// it is better by moveMargin.
 	Current fleet.BackendServerID
@@ -192,11 +195,16 @@
 	f.updateExclusions(now)
 }
 
-// Usable returns how many instances may get new requests.
-func (f *Forecast) Usable(now time.Duration) int {
+// admits reports whether an instance may continue a stream that began at an origin. Without one it may.
+func admits(origin *routing.Origin, instance routing.Instance) bool {
+	return origin == nil || origin.Admits(instance)
+}
+
+// Usable returns how many instances may get new requests, or continue a stream of an origin.
+func (f *Forecast) Usable(origin *routing.Origin, now time.Duration) int {
 	n := 0
 	for _, s := range f.instances {
-		if f.available(s, now) && now >= s.suspectUntil {
+		if f.available(s, now) && now >= s.suspectUntil && admits(origin, s.instance) {
 			n++
 		}
 	}
@@ -204,7 +212,7 @@
 }
 
 // Pick chooses an instance and counts the request as running there. It reports false if
-// every instance is draining or to be avoided.
+// every instance is draining, to be avoided, or of another software version than the stream.
 func (f *Forecast) Pick(r ForecastRequest, now time.Duration) (Assignment, bool) {
 	best, found := f.pick(r, now, false)
 	if !found {
@@ -239,7 +247,7 @@
 	recomputeWeight := (recomputeFactor + congestedRecomputeFactor*f.congestion(r, now).Seconds()) / (1 + max(f.demand(longest.ID, now)-lowDemand, 0))
 	for _, id := range f.instanceIDs {
 		s := f.instances[id]
-		if !f.available(s, now) || !includeSuspects && now < s.suspectUntil || slices.Contains(r.Avoid, id) {
+		if !f.available(s, now) || !includeSuspects && now < s.suspectUntil || slices.Contains(r.Avoid, id) || !admits(r.Origin, s.instance) {
 			continue
 		}
 		candidates++
--- a/routing/request.go
+++ b/routing/request.go
@@ -66,3 +66,35 @@
 	// Software is the version of the server's software.
 	Software SoftwareVersion `json:"software,omitempty"`
 }
+
+// Origin tells where a stream began: at a run of a backend server with a software version.
+type Origin struct {
+	Service  fleet.ServiceID       `json:"service"`
+	Instance fleet.BackendServerID `json:"instance"`
+	Born     int64                 `json:"born,omitempty"`
+	Software SoftwareVersion       `json:"software,omitempty"`
+}
+
+// Origin returns the origin of the streams that begin at the instance.
+func (i Instance) Origin() Origin {
+	return Origin{
+		Service:  i.Service,
+		Instance: i.ID,
+		Born:     i.Born,
+		Software: i.Software,
+	}
+}
+
+// SameAs reports whether streams of both origins may be continued by the same instances.
+func (o Origin) SameAs(other Origin) bool {
+	if o.Service != other.Service || o.Software != other.Software {
+		return false
+	}
+	// Without a version, two runs of servers may run different software.
+	return o.Software != "" || o.Instance == other.Instance && o.Born == other.Born
+}
+
+// Admits reports whether an instance may continue a stream that began at o.
+func (o Origin) Admits(i Instance) bool {
+	return o.SameAs(i.Origin())
+}
