--- /dev/null
+++ b/gateway/path_test.go
@@ -0,0 +1,176 @@
+package gateway_test
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/waxwingreel/waxwingreel/loopback"
+)
+
+// path is the way from one node to one instance. It can be cut.
+type path struct {
+	t       *testing.T
+	address netip.AddrPort
+	target  netip.AddrPort
+
+	mu       sync.Mutex
+	listener net.Listener
+	// backlog is the socket that takes the place of the listener while connects hang, fillers are the
+	// connections that fill its queue.
+	backlog int
+	fillers []net.Conn
+	conns   map[net.Conn]bool
+	// silent is set while nothing is forwarded.
+	silent bool
+	opened int
+}
+
+// How a path is cut.
+const (
+	// cutRefuse resets all connections and refuses new ones.
+	cutRefuse = "refuse"
+	// cutRefuseNew refuses new connections and forwards the data of those that are open.
+	cutRefuseNew = "refuseNew"
+	// cutHang forwards nothing, and new connections are neither accepted nor refused.
+	cutHang = "hang"
+)
+
+func newPath(t *testing.T, target netip.AddrPort) *path {
+	t.Helper()
+	address, err := loopback.FreeAddress("tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &path{
+		t:       t,
+		address: address,
+		target:  target,
+		backlog: -1,
+		conns:   map[net.Conn]bool{},
+	}
+	p.heal()
+	t.Cleanup(func() { p.cut(cutRefuse) })
+	return p
+}
+
+// heal opens the path.
+func (p *path) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeBacklog()
+	p.silent = false
+	if p.listener != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", p.address.String())
+	if err != nil {
+		p.t.Errorf("reopen a path: %v", err)
+		return
+	}
+	p.listener = listener
+	go p.accept(listener)
+}
+
+func (p *path) closeBacklog() {
+	if p.backlog >= 0 {
+		_ = unix.Close(p.backlog)
+		p.backlog = -1
+	}
+	for _, c := range p.fillers {
+		_ = c.Close()
+	}
+	p.fillers = nil
+}
+
+// cut cuts the path.
+func (p *path) cut(how string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.closeBacklog()
+	switch how {
+	case cutRefuse:
+		for c := range p.conns {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	case cutHang:
+		p.silent = true
+		p.hang()
+	}
+}
+
+// hang listens with a queue that is full, so that the kernel drops further connects.
+func (p *path) hang() {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		p.t.Errorf("hang a path: %v", err)
+		return
+	}
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Bind(fd, &unix.SockaddrInet4{
+		Port: int(p.address.Port()),
+		Addr: p.address.Addr().As4(),
+	}); err != nil {
+		p.t.Errorf("hang a path: %v", err)
+	}
+	_ = unix.Listen(fd, 0)
+	p.backlog = fd
+	filler, err := net.Dial("tcp", p.address.String())
+	if err == nil {
+		p.fillers = append(p.fillers, filler)
+	}
+}
+
+func (p *path) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		target, err := net.Dial("tcp", p.target.String())
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.opened++
+		p.conns[conn], p.conns[target] = true, true
+		p.mu.Unlock()
+		go p.forward(conn, target)
+		go p.forward(target, conn)
+	}
+}
+
+// forward copies data until one side closes. It holds back what comes while the path is silent.
+func (p *path) forward(to, from net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		p.mu.Lock()
+		silent := p.silent
+		p.mu.Unlock()
+		if silent {
+			continue
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, to)
+	delete(p.conns, from)
+}
