Isolated nodes serve their callers through other nodes

Cause: a node had no way to an instance but its own connections, and could not tell its own isolation from crashed instances.

Now a failed or slow connect makes the node try three other instances. If none of them can be reached, it sends its attempts through another entry node (MethodRelay), which checks what binds the sender of a request, sends over its own connections and never relays further. The roster says who is isolated.

A connect that is refused to an isolated node no longer counts as a crash for the quarantine. backend.Incoming ends by a function, so that a response may come over something other than a connection of the pool.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -78,6 +78,14 @@
 	retirements map[Instance]int
 	// idleLimits is the maximum number of idle connections to each instance.
 	idleLimits map[Instance]int
+	observer   ConnectObserver
+}
+
+// ConnectObserver is told of the connects to instances.
+type ConnectObserver interface {
+	// Connecting is called at the start of a connect, and the function that it returns at its end. The
+	// error of a connect that its request did not wait for is context.Canceled.
+	Connecting() (ended func(error))
 }
 
 // NewConnPool returns an empty pool. It reads responses within the limits.
@@ -90,6 +98,11 @@
 	}
 }
 
+// Observe sets the observer of connects. It is called before the pool is used.
+func (c *ConnPool) Observe(observer ConnectObserver) {
+	c.observer = observer
+}
+
 // Conn is one connection. It carries at most one request at a time.
 type Conn struct {
 	instance    Instance
@@ -148,10 +161,8 @@
 	Length int64
 	// Framing is how the end of the body is marked.
 	Framing Framing
-	conn    *Conn
-	pool    *ConnPool
-	close   bool
-	stop    func() bool
+	// End releases the connection. Finish calls it.
+	End func(complete bool)
 }
 
 // Framing is how the end of a body is marked.
@@ -186,7 +197,7 @@
 		return nil, &SendError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
-	in, err := conn.exchange(out)
+	in, closes, err := conn.exchange(out)
 	if err != nil {
 		stop()
 		_ = conn.conn.Close()
@@ -198,8 +209,16 @@
 			Err:  eris.Wrapf(err, "backend: %s at %s", out.Instance.ID, out.Instance.Address),
 		}
 	}
-	in.pool = c
-	in.stop = stop
+	in.End = func(complete bool) {
+		reusable := complete && !closes && in.Framing != FramingConnection
+		if !stop() || !reusable || conn.reader.Buffered() > 0 {
+			_ = conn.conn.Close()
+			return
+		}
+		conn.maxIdle = maxIdleTime(in.Header)
+		conn.idleSince = time.Now()
+		c.put(conn)
+	}
 	return in, nil
 }
 
@@ -247,7 +266,16 @@
 		},
 		Control: TCPUserTimeout(tcpUserTimeout),
 	}
+	ended := func(error) {}
+	if c.observer != nil {
+		ended = c.observer.Connecting()
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", out.Instance.Address.String())
+	if err != nil && ctx.Err() != nil {
+		ended(context.Canceled)
+	} else {
+		ended(err)
+	}
 	if err != nil {
 		return nil, eris.Wrapf(err, "backend: connect to %s at %s", out.Instance.ID, out.Instance.Address)
 	}
@@ -292,15 +320,16 @@
 	return err == nil && empty
 }
 
-// exchange writes the request and reads the header of the matching response.
-func (c *Conn) exchange(out Outgoing) (*Incoming, error) {
+// exchange writes the request and reads the header of the matching response. It returns whether the
+// server closes the connection after it.
+func (c *Conn) exchange(out Outgoing) (in *Incoming, closes bool, err error) {
 	if err := c.write(out); err != nil {
-		return nil, eris.Wrap(err, "send the request")
+		return nil, false, eris.Wrap(err, "send the request")
 	}
 	for range maxStaleResponses + 1 {
 		response, err := c.readHeader(out.Method)
 		if err != nil {
-			return nil, eris.Wrap(err, "await the answer")
+			return nil, false, eris.Wrap(err, "await the answer")
 		}
 		if out.Matches(response.StatusCode, response.Header) {
 			return &Incoming{
@@ -309,20 +338,18 @@
 				Body:    response.Body,
 				Length:  response.ContentLength,
 				Framing: framingOf(response),
-				conn:    c,
-				close:   response.Close,
-			}, nil
+			}, response.Close, nil
 		}
 		// This is the response to an earlier request. The one to this request may
 		// follow it.
 		if response.ContentLength < 0 || response.ContentLength > maxStaleResponseBytes {
-			return nil, eris.New("received a response to another request, of unknown length or too long to skip")
+			return nil, false, eris.New("received a response to another request, of unknown length or too long to skip")
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, eris.Wrap(err, "skip the response to another request")
+			return nil, false, eris.Wrap(err, "skip the response to another request")
 		}
 	}
-	return nil, eris.New("received only responses to other requests")
+	return nil, false, eris.New("received only responses to other requests")
 }
 
 func (c *Conn) write(out Outgoing) error {
@@ -358,18 +385,10 @@
 	}
 }
 
-// Finish ends the exchange. If the body was read to its end, the connection returns to
-// the pool, unless the server is about to close it.
+// Finish ends the exchange. If the body was read to its end, the connection may be used again, unless
+// the server is about to close it.
 func (in *Incoming) Finish(complete bool) {
-	stopped := in.stop()
-	c := in.conn
-	if !stopped || !complete || in.close || in.Framing == FramingConnection || c.reader.Buffered() > 0 {
-		_ = c.conn.Close()
-		return
-	}
-	c.maxIdle = maxIdleTime(in.Header)
-	c.idleSince = time.Now()
-	in.pool.put(c)
+	in.End(complete)
 }
 
 // maxIdleTime returns how long an idle connection may be reused: 70 % of the timeout that
--- a/event/event.go
+++ b/event/event.go
@@ -76,6 +76,8 @@
 	ResponseOversized ID = 506
 	PartJudged        ID = 507
 	InstanceLimited   ID = 508
+	NodeIsolated      ID = 509
+	RequestRelayed    ID = 510
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,8 @@
 	resultCallerDisconnected
 	// resultTimeout means that the request's deadline has passed.
 	resultTimeout
+	// resultNoPath means that nothing was sent, since the node is isolated and no other relays.
+	resultNoPath
 )
 
 // replaceable reports whether an attempt that has no response may be replaced by another.
@@ -63,11 +65,12 @@
 	defer stopTimer()
 	x.lastInstance = placed.Instance.ID
 	x.responseBegun = false
+	x.relayed = false
 	x.unfinishedBytes = 0
 	x.eventsBefore = x.events
 	out := x.outgoingRequest(placed.Instance)
 	out.Revoked = func() bool { return !x.s.dispatch.maySend(x.service.ID, placed, x.permitted) }
-	in, err := x.s.conns.Do(ctx, out)
+	in, err := x.send(ctx, placed, out)
 	if err != nil {
 		sendErr := (*backend.SendError)(nil)
 		sent := !errors.As(err, &sendErr) || sendErr.Sent
@@ -181,6 +184,14 @@
 		x.attemptEnded(placed, placement.OutcomeFailed)
 		return resultTimeout, err
 	}
+	if x.relayed && !sent {
+		// It tells nothing of the instance.
+		x.attemptEnded(placed, placement.OutcomeNeutral)
+		if errors.Is(err, errNoRelay) {
+			return resultNoPath, err
+		}
+		return resultNotSent, err
+	}
 	x.attemptEnded(placed, placement.OutcomeFailed)
 	if !sent {
 		return resultNotSent, err
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -69,6 +69,8 @@
 	counted        bool
 	permitted      bool
 	permitsRefused int
+	// relayed is set if the current attempt went through another node.
+	relayed bool
 	// lastOnConnection is set if the caller must open another connection after this
 	// request.
 	lastOnConnection bool
@@ -346,7 +348,7 @@
 // budget if one is needed. A request that may have run is repeated only if its route
 // allows it.
 func (x *exchange) mayTryAgain(result attemptResult) bool {
-	if x.deadline-clock.SinceBoot() < minAttemptTime {
+	if result == resultNoPath || x.deadline-clock.SinceBoot() < minAttemptTime {
 		return false
 	}
 	if result == resultNotSent {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	Call(ctx context.Context, address netip.AddrPort, method wire.Method, request, response any) error
 	// Send sends a message without waiting. The message may be lost.
 	Send(address netip.AddrPort, method wire.Method, value any)
+	// Open opens a channel.
+	Open(ctx context.Context, address netip.AddrPort, method wire.Method) (*wire.Channel, error)
 }
 
 // ControlClient is the node's connection to the control group.
@@ -93,6 +95,7 @@
 	claims       *claimRegistry
 	permits      *permits
 	origins      *origins
+	paths        *paths
 	quarantine   *quarantine.Monitor
 	crashes      crashChecks
 	quotaManager atomic.Pointer[quota.Manager]
@@ -154,6 +157,8 @@
 	s.claims = newClaimRegistry(cfg, s.peers)
 	s.permits = newPermits(cfg, s.claims)
 	s.origins = newOrigins(cfg)
+	s.paths = newPaths(ctx, cfg)
+	s.conns.Observe(s.paths)
 	s.quarantine = quarantine.NewMonitor(quarantine.MonitorConfig{
 		Trial: func(part routing.PartID) bool {
 			return s.peers.ownerSet().Owner(string(part), "") == cfg.Node
@@ -303,6 +308,7 @@
 		s.heldInstances = list.Instances
 		s.heldDigest = listDigest(list.Instances)
 	}
+	s.paths.setInstances(list.Instances)
 	s.dispatch.setInstances(list)
 }
 
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -73,6 +73,7 @@
 	servers   []*gateway.Server
 	callers   []string
 	paths     [][]*path
+	endpoints []*wire.Endpoint
 
 	mu      sync.Mutex
 	reports []roster.Report
@@ -123,6 +124,7 @@
 		RetrySlack: 50,
 		Log:        event.New(io.Discard, string(node)),
 	})
+	endpoint.HandleChannel(gateway.MethodRelay, s.HandleRelay)
 	endpoint.Start()
 	server := httptest.NewServer(s)
 	f.t.Cleanup(func() {
@@ -147,6 +149,7 @@
 	}
 	s.SetInstances(list)
 	f.servers, f.callers, f.paths = append(f.servers, s), append(f.callers, server.URL), append(f.paths, paths)
+	f.endpoints = append(f.endpoints, endpoint)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reports = append(append([]roster.Report(nil), f.reports...), roster.Report{
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -226,6 +226,11 @@
 	return wire.Decode(body, response)
 }
 
+// Open implements PeerClient. A mesh has no channels.
+func (m *mesh) Open(context.Context, netip.AddrPort, wire.Method) (*wire.Channel, error) {
+	return nil, eris.New("no channels")
+}
+
 // Send implements PeerClient.
 func (m *mesh) Send(address netip.AddrPort, method wire.Method, value any) {
 	m.sends.Add(1)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -42,6 +42,8 @@
 	CauseNoInstance Cause = "noInstance"
 	// CauseUnreachable means that no connection to an instance could be opened.
 	CauseUnreachable Cause = "unreachable"
+	// CauseIsolated means that this node is cut off from the instances and no other node relays.
+	CauseIsolated Cause = "isolated"
 	// CauseInstanceBusy means that instances refused the request.
 	CauseInstanceBusy Cause = "instanceBusy"
 	// CauseInDoubt means that the request may have run but no response was received.
@@ -75,6 +77,8 @@
 		return CauseInstanceFailed
 	case resultTimeout:
 		return CauseDeadline
+	case resultNoPath:
+		return CauseIsolated
 	}
 	return CauseInDoubt
 }
--- /dev/null
+++ b/gateway/paths.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/isolation"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// paths finds out whether this node is cut off from the instances. It is safe for concurrent use.
+type paths struct {
+	cfg      Config
+	ctx      context.Context
+	isolated atomic.Bool
+
+	mu       sync.Mutex
+	detector isolation.Detector
+	// roundEnded is closed at the end of the round of probes in progress, nil if there is none.
+	roundEnded chan struct{}
+	instances  []routing.Instance
+}
+
+func newPaths(ctx context.Context, cfg Config) *paths {
+	return &paths{
+		cfg: cfg,
+		ctx: ctx,
+	}
+}
+
+// setInstances sets the instances that may be probed.
+func (p *paths) setInstances(instances []routing.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = instances
+}
+
+// Connecting implements backend.ConnectObserver.
+func (p *paths) Connecting() (ended func(error)) {
+	slow := time.AfterFunc(isolation.SlowConnect, p.startRound)
+	return func(err error) {
+		slow.Stop()
+		switch {
+		case err == nil:
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.detector.Connected(clock.SinceBoot())
+		case !errors.Is(err, context.Canceled):
+			p.startRound()
+		}
+	}
+}
+
+// startRound probes some instances, unless that has just been done.
+func (p *paths) startRound() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil || len(p.instances) == 0 || !p.detector.StartRound(clock.SinceBoot()) {
+		return
+	}
+	probed := make([]routing.Instance, 0, isolation.ProbedServers)
+	for _, i := range rand.Perm(len(p.instances)) {
+		if len(probed) < cap(probed) {
+			probed = append(probed, p.instances[i])
+		}
+	}
+	p.roundEnded = make(chan struct{})
+	go p.probe(probed)
+}
+
+// probe connects to instances and ends the round.
+func (p *paths) probe(instances []routing.Instance) {
+	results := make(chan bool, len(instances))
+	for _, i := range instances {
+		go func() { results <- backend.Reachable(p.ctx, i.Address, isolation.ProbeTimeout) }()
+	}
+	connected, failed := 0, 0
+	for range instances {
+		if <-results {
+			connected++
+		} else {
+			failed++
+		}
+	}
+	p.endRound(connected, failed)
+}
+
+func (p *paths) endRound(connected, failed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.roundEnded)
+	p.roundEnded = nil
+	if p.ctx.Err() != nil {
+		return
+	}
+	changed := p.detector.EndRound(connected, failed, clock.SinceBoot())
+	p.isolated.Store(p.detector.Isolated())
+	if p.detector.Isolated() {
+		time.AfterFunc(isolation.RoundInterval, p.startRound)
+	}
+	if !changed {
+		return
+	}
+	state := "ended"
+	if p.detector.Isolated() {
+		state = "begun"
+	}
+	p.cfg.Log.Warn(event.NodeIsolated).
+		Str("state", state).
+		Int("connected", connected).
+		Int("failed", failed).
+		Msg("this node is cut off from the instances, or no longer; requests go through other nodes meanwhile")
+	p.cfg.Control.SendHeartbeat()
+}
+
+// awaitRound waits for the end of the round in progress, if any, and reports whether the node is
+// isolated.
+func (p *paths) awaitRound(ctx context.Context) bool {
+	p.mu.Lock()
+	ended := p.roundEnded
+	p.mu.Unlock()
+	if ended != nil {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
+	return p.isolated.Load()
+}
+
+// Isolated reports whether this node is cut off from the instances.
+func (s *Server) Isolated() bool {
+	return s.paths.isolated.Load()
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/isolation"
 	"github.com/waxwingreel/waxwingreel/ownership"
 	"github.com/waxwingreel/waxwingreel/roster"
 )
@@ -33,6 +34,9 @@
 	// avoidedUntil has, for each node that did not respond, the time from which it may be
 	// called again.
 	avoidedUntil map[fleet.NodeID]time.Duration
+	// isolatedUntil has, for each node that has said that it is isolated, the time until which it is
+	// not asked to relay. The roster says so later.
+	isolatedUntil map[fleet.NodeID]time.Duration
 }
 
 func newPeers(cfg Config) *peers {
@@ -42,6 +46,7 @@
 		log:           cfg.Log,
 		wireAddresses: map[fleet.NodeID]netip.AddrPort{},
 		avoidedUntil:  map[fleet.NodeID]time.Duration{},
+		isolatedUntil: map[fleet.NodeID]time.Duration{},
 	}
 }
 
@@ -82,6 +87,19 @@
 	return address, ok && clock.SinceBoot() >= p.avoidedUntil[node]
 }
 
+// markIsolated records that a node has said that it is isolated.
+func (p *peers) markIsolated(node fleet.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isolatedUntil[node] = clock.SinceBoot() + isolation.RoundInterval
+}
+
+func (p *peers) isIsolated(node fleet.NodeID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.SinceBoot() < p.isolatedUntil[node]
+}
+
 // reachable yields the nodes that may be called, in the given order.
 func (p *peers) reachable(nodes []fleet.NodeID) iter.Seq2[fleet.NodeID, netip.AddrPort] {
 	return func(yield func(fleet.NodeID, netip.AddrPort) bool) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -72,7 +72,7 @@
 			crash.Parts = x.request.Parts
 		}
 		crash.Identity = x.identity
-		crash.Gone = !crash.Begun && x.s.crashes.gone(x, placed.Instance)
+		crash.Gone = !crash.Begun && !x.relayed && x.s.crashes.gone(x, placed.Instance)
 		x.brokenStarts++
 		x.s.cfg.Metrics.Count("starts_broken")
 	}
@@ -97,6 +97,11 @@
 	if !backend.Gone(x.ctx, instance.Address) {
 		return false
 	}
+	// A cut node is refused by all instances.
+	x.s.paths.startRound()
+	if x.s.paths.awaitRound(x.ctx) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.SinceBoot()
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,453 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/metrics"
+	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// MethodRelay sends one request to an instance through another node. The node that is cut off opens the
+// channel and sends a RelayRequest. It receives a RelayResponse and then the body in a series of
+// RelayChunk. Closing the channel cancels the request.
+const MethodRelay wire.Method = "relay"
+
+const (
+	// maxRelays is the number of nodes that are asked to relay one request.
+	maxRelays = 3
+	// relayOpenTimeout limits the time to open a channel to a node.
+	relayOpenTimeout = 300 * time.Millisecond
+	// relayChunkBytes is the size of the pieces in which a body is relayed.
+	relayChunkBytes = 16 << 10
+)
+
+// RelayRequest is a request to an instance.
+type RelayRequest struct {
+	Request    routing.RequestID     `json:"request"`
+	Instance   fleet.BackendServerID `json:"instance"`
+	Born       int64                 `json:"born,omitempty"`
+	Method     string                `json:"method"`
+	Target     string                `json:"target"`
+	Host       string                `json:"host"`
+	Header     http.Header           `json:"header"`
+	Body       []byte                `json:"body,omitempty"`
+	AtMostOnce bool                  `json:"atMostOnce,omitempty"`
+	// Permitted is set if the request has a permit of a limited instance.
+	Permitted bool `json:"permitted,omitempty"`
+	// TimeoutMillis is the time until the request's deadline.
+	TimeoutMillis int64 `json:"timeoutMillis"`
+}
+
+// RelayRefusal is why a node did not send a request to its instance.
+type RelayRefusal string
+
+const (
+	// RelayIsolated means that the node is cut off from the instances too.
+	RelayIsolated RelayRefusal = "isolated"
+	// RelayBusy means that the node has no room, or is stopping.
+	RelayBusy RelayRefusal = "busy"
+	// RelayExcluded means that the instance takes no requests from the node: it leaves, is full, or is
+	// not in the node's list.
+	RelayExcluded RelayRefusal = "excluded"
+	// RelayUnreachable means that the node could not connect to the instance.
+	RelayUnreachable RelayRefusal = "unreachable"
+)
+
+// RelayResponse is the head of a response, or why there is none.
+type RelayResponse struct {
+	// Refusal is set if nothing was sent to the instance.
+	Refusal RelayRefusal `json:"refusal,omitempty"`
+	// Error is set if the request was sent and got no response.
+	Error *RelayError `json:"error,omitempty"`
+
+	Status  int             `json:"status,omitempty"`
+	Header  http.Header     `json:"header,omitempty"`
+	Length  int64           `json:"length"`
+	Framing backend.Framing `json:"framing,omitempty"`
+}
+
+// RelayError is a failure between the relaying node and the instance.
+type RelayError struct {
+	Text string `json:"text"`
+	// ClosedByServer is set if the instance closed or reset the connection.
+	ClosedByServer bool `json:"closedByServer,omitempty"`
+}
+
+// RelayChunk is a piece of a body.
+type RelayChunk struct {
+	Data  []byte      `json:"data,omitempty"`
+	End   bool        `json:"end,omitempty"`
+	Error *RelayError `json:"error,omitempty"`
+}
+
+func newRelayError(err error) *RelayError {
+	return &RelayError{
+		Text:           err.Error(),
+		ClosedByServer: backend.ClosedByServer(err),
+	}
+}
+
+// err returns an error with the same meaning as that on the relaying node.
+func (e *RelayError) err(node fleet.NodeID) error {
+	if e.ClosedByServer {
+		return eris.Wrapf(syscall.ECONNRESET, "relayed by %s: %s", node, e.Text)
+	}
+	return eris.Errorf("relayed by %s: %s", node, e.Text)
+}
+
+// channelError returns an error without the cause of a failed channel. The end of a channel must not be
+// taken for the end of a connection by the instance.
+func channelError(node fleet.NodeID, err error) error {
+	return eris.Errorf("relayed by %s: the channel failed: %v", node, err)
+}
+
+// errNoRelay means that this node is isolated and no other node relays for it.
+var errNoRelay = eris.New("this node is cut off from the instances and no other node relays its requests")
+
+// send sends the request of an attempt: over a connection of this node or, while the node is isolated, through
+// another one. An error is a *backend.SendError.
+func (x *exchange) send(ctx context.Context, placed *placement.Assignment, out backend.Outgoing) (*backend.Incoming, error) {
+	if !x.s.Isolated() {
+		in, err := x.s.conns.Do(ctx, out)
+		sendErr := (*backend.SendError)(nil)
+		if err == nil || !eris.As(err, &sendErr) || sendErr.Sent || ctx.Err() != nil || !x.s.paths.awaitRound(ctx) {
+			return in, err
+		}
+	}
+	x.relayed = true
+	return x.sendThroughPeer(ctx, placed, out)
+}
+
+// sendThroughPeer asks other nodes to relay the request until one of them does.
+func (x *exchange) sendThroughPeer(ctx context.Context, placed *placement.Assignment, out backend.Outgoing) (*backend.Incoming, error) {
+	if out.Revoked() {
+		return nil, &backend.SendError{Err: eris.Errorf("relay to %s: the instance has said meanwhile that it takes no requests", out.Instance.ID)}
+	}
+	request := RelayRequest{
+		Request:       x.request.ID,
+		Instance:      out.Instance.ID,
+		Born:          placed.Instance.Born,
+		Method:        out.Method,
+		Target:        out.Target,
+		Host:          out.Host,
+		Header:        out.Header,
+		Body:          out.Body,
+		AtMostOnce:    out.AtMostOnce,
+		Permitted:     x.permitted,
+		TimeoutMillis: (x.deadline - clock.SinceBoot()).Milliseconds(),
+	}
+	last := error(errNoRelay)
+	for _, relay := range x.s.peers.relays(x.s.cfg.DataCentre, maxRelays) {
+		in, refusal, err := x.relay(ctx, relay, request)
+		x.countRelay(refusal, err)
+		if refusal == "" {
+			return in, err
+		}
+		switch refusal {
+		case RelayIsolated:
+			x.s.peers.markIsolated(relay.node)
+		case RelayBusy:
+			last = eris.Errorf("relay to %s: %s has no room", out.Instance.ID, relay.node)
+		default:
+			return nil, &backend.SendError{Err: eris.Errorf("relay by %s to %s: %s", relay.node, out.Instance.ID, refusal)}
+		}
+	}
+	return nil, &backend.SendError{Err: last}
+}
+
+// relayNode is a node that may relay.
+type relayNode struct {
+	node    fleet.NodeID
+	address netip.AddrPort
+}
+
+// relay sends the request through a node. It returns a refusal if nothing was sent to the instance. An error
+// is a *backend.SendError.
+func (x *exchange) relay(ctx context.Context, r relayNode, request RelayRequest) (*backend.Incoming, RelayRefusal, error) {
+	openCtx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
+	defer cancel()
+	ch, err := x.s.cfg.Peers.Open(openCtx, r.address, MethodRelay)
+	if err != nil {
+		if ctx.Err() == nil {
+			x.s.peers.markUnresponsive(r.node, err)
+		}
+		return nil, RelayBusy, nil
+	}
+	stop := context.AfterFunc(ctx, ch.Close)
+	failed := func(err error) (*backend.Incoming, RelayRefusal, error) {
+		stop()
+		ch.Close()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, "", &backend.SendError{
+			Sent: true,
+			Err:  err,
+		}
+	}
+	if err := ch.Send(request); err != nil {
+		return failed(channelError(r.node, err))
+	}
+	response := RelayResponse{}
+	if err := ch.Receive(&response); err != nil {
+		return failed(channelError(r.node, err))
+	}
+	switch {
+	case response.Refusal != "":
+		stop()
+		ch.Close()
+		return nil, response.Refusal, nil
+	case response.Error != nil:
+		return failed(response.Error.err(r.node))
+	}
+	body := &relayedBody{
+		node: r.node,
+		ch:   ch,
+	}
+	return &backend.Incoming{
+		Status:  response.Status,
+		Header:  response.Header,
+		Body:    io.NopCloser(body),
+		Length:  response.Length,
+		Framing: response.Framing,
+		End: func(bool) {
+			stop()
+			ch.Close()
+		},
+	}, "", nil
+}
+
+func (x *exchange) countRelay(refusal RelayRefusal, err error) {
+	outcome := string(refusal)
+	switch {
+	case refusal != "":
+	case err != nil:
+		outcome = "failed"
+	default:
+		outcome = "sent"
+	}
+	x.s.cfg.Metrics.Count("relays", metrics.Label{
+		Name:  "outcome",
+		Value: outcome,
+	})
+}
+
+// relayedBody reads the body of a response from a channel.
+type relayedBody struct {
+	node fleet.NodeID
+	ch   *wire.Channel
+	rest []byte
+	end  error
+}
+
+// Read implements io.Reader.
+func (b *relayedBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.end != nil {
+			return 0, b.end
+		}
+		chunk := RelayChunk{}
+		err := b.ch.Receive(&chunk)
+		switch {
+		case err != nil:
+			b.end = channelError(b.node, err)
+		case chunk.Error != nil:
+			b.end = chunk.Error.err(b.node)
+		case chunk.End:
+			b.end = io.EOF
+		}
+		b.rest = chunk.Data
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// HandleRelay handles MethodRelay. It sends the request to the instance over a connection of this node only, so
+// that no request circles.
+func (s *Server) HandleRelay(ctx context.Context, from fleet.NodeID, ch *wire.Channel) {
+	defer ch.Close()
+	request := RelayRequest{}
+	if err := ch.Receive(&request); err != nil {
+		s.cfg.Log.Warn(event.PeerLost).Str("from", string(from)).Err(err).Msg("cannot read a request to relay")
+		return
+	}
+	inFlight := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	buffers := allocation{budget: s.buffers}
+	defer buffers.release()
+	r := relaying{
+		s:       s,
+		request: request,
+		ch:      ch,
+	}
+	if s.draining.Load() || s.cfg.MaxInFlight > 0 && inFlight > s.cfg.MaxInFlight || !buffers.take(int64(len(request.Body)+relayChunkBytes)) {
+		r.refuse(RelayBusy)
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond, errDeadline)
+	defer cancel()
+	go func() {
+		// The other node sends nothing more. The end of the channel is all that there is to read.
+		_ = ch.Receive(&struct{}{})
+		cancel()
+	}()
+	r.run(ctx)
+}
+
+// relaying is a request that this node sends for another one.
+type relaying struct {
+	s       *Server
+	request RelayRequest
+	ch      *wire.Channel
+}
+
+func (r *relaying) refuse(refusal RelayRefusal) {
+	r.s.cfg.Log.Info(event.RequestRelayed).
+		Str("request", string(r.request.Request)).
+		Str("instance", string(r.request.Instance)).
+		Str("refusal", string(refusal)).
+		Msg("request of another node was not relayed")
+	_ = r.ch.Send(RelayResponse{Refusal: refusal})
+}
+
+func (r *relaying) run(ctx context.Context) {
+	s := r.s
+	instance, ok := s.dispatch.mayRelay(r.request)
+	switch {
+	case s.Isolated():
+		r.refuse(RelayIsolated)
+		return
+	case !ok:
+		r.refuse(RelayExcluded)
+		return
+	}
+	placed := &placement.Assignment{Instance: instance}
+	in, err := s.conns.Do(ctx, r.outgoing(placed))
+	sendErr := (*backend.SendError)(nil)
+	switch {
+	case err == nil:
+	case !eris.As(err, &sendErr) || sendErr.Sent:
+		s.conns.Retire(backendInstance(instance))
+		_ = r.ch.Send(RelayResponse{Error: newRelayError(err)})
+		return
+	case s.paths.awaitRound(ctx):
+		r.refuse(RelayIsolated)
+		return
+	default:
+		r.refuse(RelayUnreachable)
+		return
+	}
+	s.dispatch.responseRead(instance.Service, placed, s.cfg.Protocol.ReadResponse(in.Status, in.Header))
+	s.cfg.Log.Info(event.RequestRelayed).
+		Str("request", string(r.request.Request)).
+		Str("instance", string(r.request.Instance)).
+		Int("status", in.Status).
+		Msg("relays the response to a request of another node")
+	err = r.ch.Send(RelayResponse{
+		Status:  in.Status,
+		Header:  in.Header,
+		Length:  in.Length,
+		Framing: in.Framing,
+	})
+	in.Finish(err == nil && r.relayBody(in))
+}
+
+func (r *relaying) outgoing(placed *placement.Assignment) backend.Outgoing {
+	return backend.Outgoing{
+		Instance:   backendInstance(placed.Instance),
+		Method:     r.request.Method,
+		Target:     r.request.Target,
+		Host:       r.request.Host,
+		Header:     r.request.Header,
+		Body:       r.request.Body,
+		AtMostOnce: r.request.AtMostOnce,
+		Matches: func(status int, header http.Header) bool {
+			return r.s.cfg.Protocol.Matches(r.request.Request, status, header)
+		},
+		Revoked: func() bool {
+			return !r.s.dispatch.maySend(placed.Instance.Service, placed, r.request.Permitted)
+		},
+	}
+}
+
+// relayBody relays the body of a response and reports whether it was read to its end.
+func (r *relaying) relayBody(in *backend.Incoming) bool {
+	buffer := make([]byte, relayChunkBytes)
+	for {
+		n, err := in.Body.Read(buffer)
+		chunk := RelayChunk{Data: buffer[:n]}
+		switch {
+		case err == io.EOF:
+			chunk.End = true
+		case err != nil:
+			chunk.Error = newRelayError(err)
+		}
+		if sendErr := r.ch.Send(chunk); sendErr != nil || err != nil {
+			return sendErr == nil && err == io.EOF
+		}
+	}
+}
+
+// mayRelay returns the instance of a request of another node. It returns false if the instance takes no requests
+// from this node, or is not known to it.
+func (d *dispatcher) mayRelay(r RelayRequest) (instance routing.Instance, ok bool) {
+	d.DoAndWait(func() {
+		instance, ok = d.instances[r.Instance]
+		ok = ok && instance.Born == r.Born &&
+			d.forecast(instance.Service).MaySend(&placement.Assignment{Instance: instance}, r.Permitted, clock.SinceBoot())
+	})
+	return instance, ok
+}
+
+// relays returns up to n nodes that may relay, in random order. Those in this node's data centre come first,
+// unless most of them are isolated: the rest would get the requests of all.
+func (p *peers) relays(dataCentre fleet.DataCentre, n int) []relayNode {
+	p.ownerSet()
+	var local, remote []relayNode
+	isolated := 0
+	for _, report := range p.controlClient.Roster() {
+		near := report.DataCentre == dataCentre
+		address, ok := p.address(report.Holder.Node)
+		switch {
+		case !report.TakesCallers() || report.Holder.Node == p.node:
+		case report.Isolated && near:
+			isolated++
+		case report.Isolated || !ok || p.isIsolated(report.Holder.Node):
+		case near:
+			local = append(local, relayNode{
+				node:    report.Holder.Node,
+				address: address,
+			})
+		default:
+			remote = append(remote, relayNode{
+				node:    report.Holder.Node,
+				address: address,
+			})
+		}
+	}
+	shuffle := func(nodes []relayNode) {
+		rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	}
+	shuffle(local)
+	shuffle(remote)
+	all := append(local, remote...)
+	if isolated >= len(local) {
+		shuffle(all)
+	}
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/isolation/isolation.go
@@ -0,0 +1,75 @@
+// Package isolation decides whether a node is cut off from the backend servers, by what becomes of its
+// connects.
+//
+// A connect that fails says that one server has crashed or that no path leads to it. So the node tries some
+// other servers at once: if none of them can be reached either, it is the node that is cut off, and it sends
+// its requests through other nodes. It goes on to try until most servers can be reached again.
+//
+// Servers that accept connections and do not respond are not considered: a sound one may fall silent for a
+// second or more.
+//
+// The package is a pure state machine. All times are on the caller's clock.
+package isolation
+
+import "time"
+
+const (
+	// SlowConnect is how long a connect may take before other servers are tried, several round trips.
+	SlowConnect = 250 * time.Millisecond
+	// ProbeTimeout limits the time for which a probe waits.
+	ProbeTimeout = 400 * time.Millisecond
+	// ProbedServers is the number of servers in a round of probes.
+	ProbedServers = 3
+	// RoundInterval is the time between two rounds while the node is isolated, and the least time
+	// between two rounds otherwise.
+	RoundInterval = 500 * time.Millisecond
+)
+
+// Detector holds what a node knows of its paths to the servers. Its zero value is ready for use. It is not
+// safe for concurrent use.
+type Detector struct {
+	isolated bool
+	// connectedAt is the time of the latest successful connect.
+	connectedAt time.Duration
+	// probing is set during a round. roundStart is the start of the latest round, nextRound when the
+	// next one may start.
+	probing    bool
+	roundStart time.Duration
+	nextRound  time.Duration
+}
+
+// Isolated reports whether the node is cut off from the servers.
+func (d *Detector) Isolated() bool {
+	return d.isolated
+}
+
+// Connected records a connect that was not part of a round.
+func (d *Detector) Connected(now time.Duration) {
+	d.connectedAt = now
+}
+
+// StartRound reports whether a round of probes is to start: a connect has failed or takes long, or the
+// node is isolated.
+func (d *Detector) StartRound(now time.Duration) bool {
+	if d.probing || now < d.nextRound {
+		return false
+	}
+	d.probing = true
+	d.roundStart = now
+	return true
+}
+
+// EndRound records the probes of a round. It reports whether the node has become isolated, or is no longer.
+func (d *Detector) EndRound(connected, failed int, now time.Duration) (changed bool) {
+	d.probing = false
+	d.nextRound = now + RoundInterval
+	before := d.isolated
+	switch {
+	case connected+failed == 0:
+	case d.isolated:
+		d.isolated = connected <= failed
+	default:
+		d.isolated = connected == 0 && d.connectedAt <= d.roundStart
+	}
+	return d.isolated != before
+}
--- /dev/null
+++ b/isolation/isolation_test.go
@@ -0,0 +1,57 @@
+package isolation
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRounds runs the cases in testdata/rounds.txt.
+func TestRounds(t *testing.T) {
+	text, err := os.ReadFile("testdata/rounds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, block := range strings.Split(string(text), "\ncase ")[1:] {
+		name, steps, _ := strings.Cut(block, "\n")
+		t.Run(name, func(t *testing.T) {
+			d := Detector{}
+			for line := range strings.Lines(steps) {
+				if line = strings.TrimSpace(line); line != "" {
+					runStep(t, &d, line)
+				}
+			}
+		})
+	}
+}
+
+func runStep(t *testing.T, d *Detector, line string) {
+	t.Helper()
+	step, want, _ := strings.Cut(line, " = ")
+	fields := strings.Fields(step)
+	var numbers []int
+	for _, text := range fields[1:] {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		numbers = append(numbers, n)
+	}
+	now, got := time.Duration(numbers[0])*time.Millisecond, ""
+	switch fields[0] {
+	case "connected":
+		d.Connected(now)
+	case "start":
+		got = map[bool]string{true: "yes", false: "no"}[d.StartRound(now)]
+	case "end":
+		d.EndRound(numbers[1], numbers[2], now)
+		got = map[bool]string{true: "isolated", false: "reached"}[d.Isolated()]
+	default:
+		t.Fatalf("unknown step %q", line)
+	}
+	if got != want {
+		t.Errorf("%s: got %s", line, got)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -248,6 +248,7 @@
 	}
 	if s.Site != nil && n.registered.Load() && !n.controlClient.Rejected() {
 		report.CallerAddress = s.Site.Listen.Callers
+		report.Isolated = n.isolated()
 	}
 	return report
 }
--- a/node/site.go
+++ b/node/site.go
@@ -77,6 +77,12 @@
 	return n.serveSite()
 }
 
+// isolated reports whether the node is cut off from the backend servers. It is called once the node is
+// registered.
+func (n *Node) isolated() bool {
+	return n.site.gateway != nil && n.site.gateway.Isolated()
+}
+
 // startReader starts a reader of the list of instances.
 func (n *Node) startReader(cfg discovery.Config) {
 	cfg.Log = n.cfg.Log
@@ -108,6 +114,7 @@
 	n.endpoint.HandleMessage(gateway.MethodLimit, g.HandleLimit)
 	n.endpoint.HandleCall(gateway.MethodDraw, g.HandleDraw)
 	n.endpoint.HandleCall(gateway.MethodList, g.HandleList)
+	n.endpoint.HandleChannel(gateway.MethodRelay, g.HandleRelay)
 	n.endpoint.HandleMessage(gateway.MethodReturn, g.HandleReturn)
 	n.controlClient.SetHandler(g)
 	n.controlClient.SetQuarantine(g.Quarantine())
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -57,6 +57,9 @@
 	Version fleet.Version `json:"version"`
 	// LoadPerMille is the share of the node's capacity that is in use.
 	LoadPerMille int `json:"loadPerMille"`
+	// Isolated is set while the node is cut off from the backend servers. It serves callers through
+	// other nodes.
+	Isolated bool `json:"isolated,omitempty"`
 	// AgeMillis is the time between the node's latest heartbeat and the sending of
 	// this report.
 	AgeMillis int64 `json:"ageMillis"`
@@ -149,7 +152,7 @@
 // needsNotification reports whether subscribers must be notified of the difference
 // between two reports of a node.
 func needsNotification(a, b Report) bool {
-	return loadBand(a.LoadPerMille) != loadBand(b.LoadPerMille) || a.State != b.State || a.Holder != b.Holder || a.CallerAddress != b.CallerAddress || a.WireAddress != b.WireAddress
+	return loadBand(a.LoadPerMille) != loadBand(b.LoadPerMille) || a.State != b.State || a.Isolated != b.Isolated || a.Holder != b.Holder || a.CallerAddress != b.CallerAddress || a.WireAddress != b.WireAddress
 }
 
 // MarkDead sets StateDead for nodes without a heartbeat for DeadAfter and removes those
--- a/wire/sparse.go
+++ b/wire/sparse.go
@@ -39,3 +39,9 @@
 	s.endpoint.peer(address).sparse.Store(true)
 	s.endpoint.Send(address, method, value)
 }
+
+// Open is like Endpoint.Open.
+func (s Sparse) Open(ctx context.Context, address netip.AddrPort, method Method) (*Channel, error) {
+	s.endpoint.peer(address).sparse.Store(true)
+	return s.endpoint.Open(ctx, address, method)
+}
