Connections outlast a silence of a second

A sound server may be silent for a second or so. A connection that waited for its response was given up after 1 s of silence: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count, so with probes from 1 s on and a user timeout of 1.5 s the second probe ended it. The node's own API had the same with 2 s and 3 s.

The user timeouts are 2.5 s and 4 s now, so that 2 s of silence are needed. Connections that are really dead are found 1 s later; new connects tell an isolated node before that.

--- a/backend/client.go
+++ b/backend/client.go
@@ -44,18 +44,8 @@
 // NewClient returns a client for the server. Each client has its own connection pool,
 // so that all idle connections to one server can be closed together.
 func NewClient(server catalog.BackendServer) *Client {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     2 * time.Second,
-			Interval: time.Second,
-			Count:    2,
-		},
-		Control: TCPUserTimeout(3 * time.Second),
-	}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            newDialer().DialContext,
 		MaxIdleConnsPerHost:    256,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
@@ -72,6 +62,20 @@
 	}
 }
 
+// newDialer returns the dialer of a Client.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     2 * time.Second,
+			Interval: time.Second,
+			Count:    2,
+		},
+		Control: TCPUserTimeout(clientUserTimeout),
+	}
+}
+
 // TCPUserTimeout returns a socket control function that sets TCP_USER_TIMEOUT: the
 // kernel closes the connection when sent data stays unacknowledged for longer than
 // limit. By default the kernel retransmits for about 15 minutes, for instance when a
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -26,8 +26,9 @@
 	// connectTimeout limits the time to open a connection within one region.
 	connectTimeout = 700 * time.Millisecond
 	// tcpUserTimeout is how long sent data may stay unacknowledged by the server's
-	// machine until the kernel closes the connection.
-	tcpUserTimeout = 1500 * time.Millisecond
+	// machine until the kernel closes the connection. It also decides when keep-alive
+	// probes give up, whatever their count.
+	tcpUserTimeout = 2500 * time.Millisecond
 	// defaultMaxIdle is how long an idle connection may be reused if the server does
 	// not announce its own timeout.
 	defaultMaxIdle = 2 * time.Second
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -178,6 +178,8 @@
 // Timeouts of connections to backend servers.
 const (
 	dialTimeout = time.Second
+	// clientUserTimeout is the counterpart of tcpUserTimeout.
+	clientUserTimeout = 4 * time.Second
 	// stallProbeInterval is how long a stream may receive nothing until the server is
 	// probed for the attempt's progress over another connection. While the stream
 	// receives nothing, the probe is repeated at this interval.
