Brittle instances get no more requests than they have room for

An instance that says it is brittle (Server-Brittle: N) falls over once it has to turn more than N requests away in a second, and it may let fewer wait than before. Each node sent by what it saw itself; together they sent more than fits, and what was turned away came back as retries.

The owner that issues permits for limits now counts the requests of all nodes at a brittle instance and issues no more permits than it has slots. Nodes say how many requests they have there when they ask, and tell the owner of each end, so that a lost message corrects itself. A new owner starts slowly unless the instance reports its load. Reports of brittleness travel like those of limits.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -165,6 +165,13 @@
 // attemptEnded releases the attempt's claim and records its outcome.
 func (x *exchange) attemptEnded(placed *placement.Assignment, outcome placement.Outcome) {
 	x.releaseClaim()
+	if x.permitted && placed.Limit.Brittle != nil {
+		x.s.permits.ended(PermitEnd{
+			Node:       x.s.cfg.Node,
+			Instance:   placed.Instance.ID,
+			TurnedAway: outcome == placement.OutcomeBusy,
+		}, placed.Instance.DataCentre)
+	}
 	x.s.dispatch.attemptEnded(x.service.ID, placed, outcome)
 }
 
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -28,12 +28,12 @@
 			d.logUnreadableLimit(p.Instance, f.RecordUnreadableLimit(p.Instance.ID))
 			return
 		}
-		before := f.LimitReport(p.Instance, now).Limit
-		if !f.RecordLimit(p, r.Limit, now) {
+		before := f.LimitReport(p.Instance, now)
+		if !f.RecordLimit(p, r.Limit, r.Brittle, now) {
 			return
 		}
 		report := f.LimitReport(p.Instance, now)
-		if ratelimit.DifferNotably(before, report.Limit) {
+		if report.Differs(before) {
 			d.logLimit(report, "response")
 		}
 		d.cfg.tellLimit(report, p.Instance.DataCentre)
@@ -73,12 +73,17 @@
 		Str("service", string(r.Service)).
 		Str("source", source).
 		Int64("ageMillis", r.AgeMillis)
-	if r.Limit == nil {
+	if r.Brittle != nil {
+		line = line.Int("brittle", *r.Brittle)
+	}
+	if !r.Named() {
 		line.Str("state", "ended").Msg("instance no longer limits its requests")
 		return
 	}
+	if r.Limit != nil {
+		line = line.Float64("perSecond", float64(*r.Limit))
+	}
 	line.Str("state", "named").
-		Float64("perSecond", float64(*r.Limit)).
 		Msg("instance limits the requests that it takes from all nodes together")
 }
 
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -243,6 +243,8 @@
 		m.servers[address].HandleClaimUpdate("", body)
 	case MethodLimit:
 		m.servers[address].HandleLimit("", body)
+	case MethodPermitEnd:
+		m.servers[address].HandlePermitEnd("", body)
 	case MethodReturn:
 		m.servers[address].HandleReturn("", body)
 	}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -22,6 +22,9 @@
 	// MethodLimit tells the owner of an instance what a response said of its limit. The message is a
 	// ratelimit.Report.
 	MethodLimit wire.Method = "limit"
+	// MethodPermitEnd tells the owner of a brittle instance that a request has ended. The message is a
+	// PermitEnd.
+	MethodPermitEnd wire.Method = "permitEnd"
 )
 
 const (
@@ -38,8 +41,17 @@
 type PermitRequest struct {
 	Node       fleet.NodeID     `json:"node"`
 	DataCentre fleet.DataCentre `json:"dataCentre,omitempty"`
-	// Limit is what the node knows of the instance's limit.
+	// Limit is what the node knows of the instance's limit, Load of the requests there.
 	Limit ratelimit.Report `json:"limit"`
+	Load  ratelimit.Load   `json:"load"`
+}
+
+// PermitEnd reports that a request for which a node had a permit has ended.
+type PermitEnd struct {
+	Node     fleet.NodeID          `json:"node"`
+	Instance fleet.BackendServerID `json:"instance"`
+	// TurnedAway is set if the instance had no room for it.
+	TurnedAway bool `json:"turnedAway,omitempty"`
 }
 
 // PermitResponse is the response to a PermitRequest.
@@ -88,7 +100,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wait, granted := p.share.Take(r.Limit.Instance, *r.Limit.Limit, nodes, clock.SinceBoot())
+	wait, granted := p.share.Take(r.Limit.Instance, r.Limit.Rate(), nodes, clock.SinceBoot())
 	decision := ratelimit.Decision{
 		Granted:    granted,
 		WaitMillis: wait.Milliseconds(),
@@ -137,7 +149,7 @@
 	defer p.mu.Unlock()
 	return PermitResponse{
 		Issues:   true,
-		Decision: p.issuer.Ask(r.Node, r.Limit, clock.SinceBoot()),
+		Decision: p.issuer.Ask(r.Node, r.Limit, r.Load, clock.SinceBoot()),
 	}
 }
 
@@ -179,6 +191,24 @@
 	}
 }
 
+// ended tells the owner of a brittle instance that a request has ended there.
+func (p *permits) ended(end PermitEnd, dataCentre fleet.DataCentre) {
+	owner, address, ok := p.claims.owner(end.Instance, dataCentre)
+	switch {
+	case !ok:
+	case owner == p.cfg.Node:
+		p.applyEnd(end)
+	default:
+		p.cfg.Peers.Send(address, MethodPermitEnd, end)
+	}
+}
+
+func (p *permits) applyEnd(end PermitEnd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.issuer.Ended(end.Node, end.Instance, end.TurnedAway, clock.SinceBoot())
+}
+
 // learn records a report of another node for the permits that this one issues.
 func (p *permits) learn(r ratelimit.Report) {
 	p.mu.Lock()
@@ -223,6 +253,16 @@
 	s.permits.learn(r)
 }
 
+// HandlePermitEnd handles MethodPermitEnd.
+func (s *Server) HandlePermitEnd(from fleet.NodeID, body []byte) {
+	end := PermitEnd{}
+	if err := wire.Decode(body, &end); err != nil {
+		s.cfg.Log.Warn(event.PeerLost).Str("from", string(from)).Err(err).Msg("cannot decode the end of a permit")
+		return
+	}
+	s.permits.applyEnd(end)
+}
+
 // chooseInstance chooses an instance and gets a permit if it has a limit. If there is none, it
 // chooses among the others.
 func (x *exchange) chooseInstance(request placement.ForecastRequest) (placed *placement.Assignment, listAge time.Duration, ok bool) {
@@ -237,6 +277,7 @@
 			Node:       x.s.cfg.Node,
 			DataCentre: placed.Instance.DataCentre,
 			Limit:      *placed.Limit,
+			Load:       x.s.dispatch.load(placed),
 		}, x.s.entryNodeCount())
 		x.s.dispatch.applyLimit(decision.Latest)
 		if decision.Granted {
@@ -252,6 +293,12 @@
 	}
 }
 
+// load returns what is known of the requests at the instance of p.
+func (d *dispatcher) load(p *placement.Assignment) (load ratelimit.Load) {
+	d.DoAndWait(func() { load = d.forecast(p.Instance.Service).Load(p, clock.SinceBoot()) })
+	return load
+}
+
 // deferInstance undoes the choice p, for which there is no permit, and excludes its instance for a
 // time.
 func (d *dispatcher) deferInstance(service fleet.ServiceID, p *placement.Assignment, wait time.Duration) {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -58,8 +58,11 @@
 	// Limit is the rate at which the instance takes requests from all nodes together, nil if it
 	// names none.
 	Limit *routing.Rate
-	// LimitUnreadable is set if the response names a limit that cannot be read. It says neither
-	// what the limit is nor that there is none.
+	// Brittle is the number of requests a second that the instance can turn away for want of room
+	// without falling over, nil if it does not say that it is brittle.
+	Brittle *int
+	// LimitUnreadable is set if the response has a value of Limit or Brittle that cannot be read. It
+	// says neither what the limit is nor that there is none.
 	LimitUnreadable bool
 	// Load is the instance's load, nil if not reported.
 	Load *Load
--- a/node/site.go
+++ b/node/site.go
@@ -112,6 +112,7 @@
 	n.endpoint.HandleMessage(gateway.MethodClaimUpdate, g.HandleClaimUpdate)
 	n.endpoint.HandleCall(gateway.MethodPermit, g.HandlePermit)
 	n.endpoint.HandleMessage(gateway.MethodLimit, g.HandleLimit)
+	n.endpoint.HandleMessage(gateway.MethodPermitEnd, g.HandlePermitEnd)
 	n.endpoint.HandleCall(gateway.MethodDraw, g.HandleDraw)
 	n.endpoint.HandleCall(gateway.MethodList, g.HandleList)
 	n.endpoint.HandleChannel(gateway.MethodRelay, g.HandleRelay)
--- a/placement/exclusion.go
+++ b/placement/exclusion.go
@@ -161,5 +161,5 @@
 		return false
 	}
 	e, ok := f.exclusions[p.Instance.ID]
-	return !ok || !e.rejects(now) && (permitted || e.limit.rate == nil)
+	return !ok || !e.rejects(now) && (permitted || !e.limit.named())
 }
--- a/placement/exclusion_test.go
+++ b/placement/exclusion_test.go
@@ -71,7 +71,7 @@
 		f.RecordLimit(&Assignment{
 			Instance: f.instances[id].instance,
 			started:  s.millis(words[3]),
-		}, s.rate(words[1]), s.now)
+		}, s.rate(words[1]), nil, s.now)
 	case "report":
 		report := ratelimit.Report{
 			Instance:  fleet.BackendServerID(words[0]),
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -8,10 +8,13 @@
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
-// instanceLimit is what a node knows of the limit of one run of an instance.
+// instanceLimit is what a node knows of the limits of one run of an instance.
 type instanceLimit struct {
-	// rate is nil if the instance names no limit.
-	rate *routing.Rate
+	// rate is nil if the instance names no limit, brittle if it does not say that it is brittle.
+	rate    *routing.Rate
+	brittle *int
+	// brittleSince is the time since which the node knows that the instance is brittle.
+	brittleSince time.Duration
 	// knownAt is the time of the response that said so, reportedAt when the node last told others.
 	knownAt    time.Duration
 	reportedAt time.Duration
@@ -21,14 +24,20 @@
 	deferredUntil time.Duration
 }
 
-// RecordLimit records the limit that the response to a request names, or that it names none. It
-// reports whether other nodes are to be told: the limit has begun, ended or changed notably, or it
-// is time to repeat it.
-func (f *Forecast) RecordLimit(p *Assignment, rate *routing.Rate, now time.Duration) bool {
-	if rate == nil {
+// named reports whether a request to the instance needs a permit.
+func (l *instanceLimit) named() bool {
+	return l.rate != nil || l.brittle != nil
+}
+
+// RecordLimit records the limit that the response to a request names and whether the instance is brittle, or
+// that it names neither. It reports whether other nodes are to be told: that has begun, ended or changed
+// notably, or it is time to repeat it.
+func (f *Forecast) RecordLimit(p *Assignment, rate *routing.Rate, brittle *int, now time.Duration) bool {
+	if rate == nil || brittle == nil {
 		e, ok := f.exclusions[p.Instance.ID]
+		ends := ok && (rate == nil && e.limit.rate != nil || brittle == nil && e.limit.brittle != nil)
 		// A response to an earlier request may have been under way when the limit was named.
-		if !ok || e.limit.rate == nil || p.started <= e.limit.knownAt {
+		if ends && p.started <= e.limit.knownAt || !ends && rate == nil && brittle == nil {
 			return false
 		}
 	}
@@ -36,18 +45,32 @@
 	if e == nil {
 		return false
 	}
-	tell := ratelimit.DifferNotably(e.limit.rate, rate) || now-e.limit.reportedAt >= ratelimit.RefreshInterval
-	e.limit.set(rate, now)
+	named := ratelimit.Report{
+		Limit:   rate,
+		Brittle: brittle,
+	}
+	tell := named.Differs(e.limit.report()) || now-e.limit.reportedAt >= ratelimit.RefreshInterval
+	e.limit.set(named, now)
 	if tell {
 		e.limit.reportedAt = now
 	}
 	return tell
 }
 
-func (l *instanceLimit) set(rate *routing.Rate, knownAt time.Duration) {
-	l.rate = rate
+func (l *instanceLimit) report() ratelimit.Report {
+	return ratelimit.Report{
+		Limit:   l.rate,
+		Brittle: l.brittle,
+	}
+}
+
+func (l *instanceLimit) set(named ratelimit.Report, knownAt time.Duration) {
+	if l.brittle == nil && named.Brittle != nil {
+		l.brittleSince = knownAt
+	}
+	l.rate, l.brittle = named.Limit, named.Brittle
 	l.knownAt = knownAt
-	if rate == nil {
+	if !l.named() {
 		l.deferredUntil = 0
 	}
 }
@@ -71,15 +94,15 @@
 	if !listed || s.instance.Born != r.Born {
 		return false
 	}
-	if _, ok := f.exclusions[r.Instance]; !ok && r.Limit == nil {
+	if _, ok := f.exclusions[r.Instance]; !ok && !r.Named() {
 		return false
 	}
 	e, at := f.exclusion(r.Instance), r.KnownAt(received)
 	if at <= e.limit.knownAt {
 		return false
 	}
-	changed := ratelimit.DifferNotably(e.limit.rate, r.Limit)
-	e.limit.set(r.Limit, at)
+	changed := r.Differs(e.limit.report())
+	e.limit.set(r, at)
 	return changed
 }
 
@@ -91,7 +114,7 @@
 		Born:     instance.Born,
 	}
 	if e, ok := f.exclusions[instance.ID]; ok {
-		r.Limit = e.limit.rate
+		r.Limit, r.Brittle = e.limit.rate, e.limit.brittle
 		r.AgeMillis = (now - e.limit.knownAt).Milliseconds()
 	}
 	return r
@@ -100,7 +123,7 @@
 // limitOf returns the report on an instance that has a limit, nil for one without.
 func (f *Forecast) limitOf(instance routing.Instance, now time.Duration) *ratelimit.Report {
 	r := f.LimitReport(instance, now)
-	if r.Limit == nil {
+	if !r.Named() {
 		return nil
 	}
 	return &r
@@ -109,7 +132,28 @@
 // Defer records that there is no permit for a request to a limited instance until some time has
 // passed.
 func (f *Forecast) Defer(id fleet.BackendServerID, wait, now time.Duration) {
-	if e, ok := f.exclusions[id]; ok && e.limit.rate != nil {
+	if e, ok := f.exclusions[id]; ok && e.limit.named() {
 		e.limit.deferredUntil = max(e.limit.deferredUntil, now+wait)
 	}
 }
+
+// Load returns what the node knows of the requests at the instance of p, besides that of p.
+func (f *Forecast) Load(p *Assignment, now time.Duration) ratelimit.Load {
+	load := ratelimit.Load{
+		Slots:          p.Instance.Slots,
+		ReportedMillis: -1,
+	}
+	s, ok := f.instances[p.Instance.ID]
+	if !ok {
+		return load
+	}
+	load.Running = max(s.running-1, 0)
+	if s.reportedAt >= 0 {
+		load.Reported = s.reportedRunning + s.reportedWaiting
+		load.ReportedMillis = (now - s.reportedAt).Milliseconds()
+	}
+	if e, ok := f.exclusions[p.Instance.ID]; ok && e.limit.brittle != nil {
+		load.KnownMillis = (now - e.limit.brittleSince).Milliseconds()
+	}
+	return load
+}
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -164,7 +164,7 @@
 	} else {
 		s.asked++
 		node.share.Reset("i")
-		d := s.nodes[owner].issuer.Ask(fleet.NodeID(strconv.Itoa(n)), report, s.now)
+		d := s.nodes[owner].issuer.Ask(fleet.NodeID(strconv.Itoa(n)), report, ratelimit.Load{}, s.now)
 		granted, wait = d.Granted, time.Duration(d.WaitMillis)*time.Millisecond+roundTrip
 	}
 	if !granted {
--- a/ratelimit/issuer.go
+++ b/ratelimit/issuer.go
@@ -45,6 +45,7 @@
 	// askers has the time at which each node last asked.
 	askers  map[fleet.NodeID]time.Duration
 	askedAt time.Duration
+	room    room
 }
 
 // Decision is the answer to a node that asks for a permit.
@@ -74,6 +75,7 @@
 			permits: bucket{at: now},
 			askers:  map[fleet.NodeID]time.Duration{},
 			askedAt: now,
+			room:    newRoom(now),
 		}
 		i.accounts[r.Instance] = a
 	}
@@ -98,33 +100,47 @@
 	a.permits.fill(rate, 1+float64(rate)*burstTime.Seconds(), now)
 }
 
-// Ask decides whether a node may send one request to an instance, of whose limit it reports what it
-// knows.
-func (i *Issuer) Ask(node fleet.NodeID, r Report, now time.Duration) Decision {
+// Ask decides whether a node may send one request to an instance, of which it reports what it knows.
+func (i *Issuer) Ask(node fleet.NodeID, r Report, load Load, now time.Duration) Decision {
 	a := i.learn(r, now)
 	a.askedAt = now
 	a.fill(now)
+	a.room.record(node, load, now)
 	d := Decision{Latest: a.report.aged(a.knownAt, now)}
-	if a.report.Limit == nil || a.permits.take() {
+	switch {
+	case a.report.Brittle != nil && !a.room.free(*a.report.Brittle, load, now):
+		a.askers[node] = now
+		// A node asks only when it has a request, and a slot must not stay free until then.
+		d.WaitMillis = i.spread(a, roomAsksPerEnd*a.room.releaseRate(now), now).Milliseconds()
+	case a.report.Limit == nil || a.permits.take():
+		a.room.take(node)
 		d.Granted = true
-		return d
+	default:
+		a.askers[node] = now
+		d.WaitMillis = min(max(a.permits.wait(a.rate()), i.spread(a, a.rate(), now)), maxWait).Milliseconds()
 	}
-	a.askers[node] = now
-	d.WaitMillis = i.wait(a, now).Milliseconds()
 	return d
 }
 
-// wait returns when a node is to ask again. All nodes that ask are to come back at different times,
-// about twice as often as there are permits.
-func (i *Issuer) wait(a *account, now time.Duration) time.Duration {
+// Ended records the end of a request for which a node had a permit, and whether the instance turned it away
+// for want of room.
+func (i *Issuer) Ended(node fleet.NodeID, instance fleet.BackendServerID, turnedAway bool, now time.Duration) {
+	if a, ok := i.accounts[instance]; ok {
+		a.room.ended(node, turnedAway, now)
+	}
+}
+
+// spread returns when a node is to ask again, given how many permits there are a second. All nodes that ask
+// are to come back at different times, about twice as often as there are permits.
+func (i *Issuer) spread(a *account, rate routing.Rate, now time.Duration) time.Duration {
 	for node, at := range a.askers {
 		if now-at > askerMemory {
 			delete(a.askers, node)
 		}
 	}
-	perPermit := float64(time.Second) / float64(a.rate())
+	perPermit := float64(time.Second) / float64(rate)
 	spread := time.Duration((0.5 + i.rng.Float64()) / 2 * perPermit * float64(len(a.askers)))
-	return min(max(a.permits.wait(a.rate()), spread, minWait), maxWait)
+	return min(max(spread, minWait), maxWait)
 }
 
 // sweep forgets the instances for which nobody asks any more.
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -48,12 +48,41 @@
 	Instance fleet.BackendServerID `json:"instance"`
 	// Born tells the runs of an instance apart, as in routing.Instance.
 	Born int64 `json:"born,omitempty"`
-	// Limit is nil if the instance no longer names one.
+	// Limit is nil if the instance names none, or no longer.
 	Limit *routing.Rate `json:"limit,omitempty"`
+	// Brittle is the number of requests a second that the instance can turn away for want of room
+	// without falling over, nil if it does not say that it is brittle, or no longer.
+	Brittle *int `json:"brittle,omitempty"`
 	// AgeMillis is the time since the response that said so.
 	AgeMillis int64 `json:"ageMillis"`
 }
 
+// Named reports whether the instance names a limit or says that it is brittle, so that each request to it
+// needs a permit.
+func (r Report) Named() bool {
+	return r.Limit != nil || r.Brittle != nil
+}
+
+// Rate returns the requests a second that the nodes may send together if no owner knows what else is there:
+// the limit, or as many as a brittle instance can turn away.
+func (r Report) Rate() routing.Rate {
+	switch {
+	case r.Brittle == nil && r.Limit == nil:
+		return 0
+	case r.Brittle == nil:
+		return *r.Limit
+	case r.Limit == nil:
+		return routing.Rate(*r.Brittle)
+	}
+	return min(routing.Rate(*r.Brittle), *r.Limit)
+}
+
+// Differs reports whether two reports differ so much that others are told.
+func (r Report) Differs(other Report) bool {
+	brittleDiffers := (r.Brittle == nil) != (other.Brittle == nil) || r.Brittle != nil && *r.Brittle != *other.Brittle
+	return brittleDiffers || DifferNotably(r.Limit, other.Limit)
+}
+
 // KnownAt returns when the response came that a report is of, given the time of its receipt.
 func (r Report) KnownAt(now time.Duration) time.Duration {
 	return now - time.Duration(r.AgeMillis)*time.Millisecond
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -53,7 +53,7 @@
 	case !ok && (now-at > reportTTL || len(t.rows) >= maxReports):
 		return
 	}
-	if !ok || known.report.Born != r.Born || DifferNotably(known.report.Limit, r.Limit) {
+	if !ok || known.report.Born != r.Born || known.report.Differs(r) {
 		t.changes++
 	}
 	t.rows[r.Instance] = &row{
