--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -101,9 +101,12 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}
+	case cutRefuseNew:
 	case cutHang:
 		p.silent = true
 		p.hang()
+	default:
+		p.t.Errorf("unknown way to cut a path: %q", how)
 	}
 }
 
