--- a/soak/audit_test.go
+++ b/soak/audit_test.go
@@ -41,6 +41,12 @@
 	executions   []*execution
 	// delivered counts the events that reached the caller.
 	delivered int64
+
+	// resumes is the request that brought the first event of the stream, nil unless this one resumes
+	// it. after is the last event that the caller has, software the version that sent the events.
+	resumes  *request
+	after    int
+	software string
 }
 
 // execution is one execution of a request at an instance.
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -135,7 +135,11 @@
 		return
 	}
 	r := c.newRequest()
-	c.exchange(r, r.kind != kindOnce && c.rng.IntN(disconnectOneIn) == 0)
+	disconnects := r.kind != kindOnce && c.rng.IntN(disconnectOneIn) == 0
+	c.exchange(r, disconnects)
+	if !disconnects {
+		c.resume(r)
+	}
 }
 
 // exchange sends a request over the open connection and receives its response, or disconnects early.
@@ -230,6 +234,9 @@
 	if r.kind == kindStream {
 		text += fmt.Sprintf("Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: ab:%d,%x:%d\r\n", r.prompt, r.output, r.prompt/2, r.sent.UnixNano(), r.prompt-r.prompt/2)
 	}
+	if r.resumes != nil {
+		text += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", r.resumes.id, r.after)
+	}
 	if r.body != "" {
 		text += "Content-Length: " + strconv.Itoa(len(r.body)) + "\r\n"
 	}
@@ -279,7 +286,7 @@
 // must arrive in order, and all of them before a complete end.
 func (c *caller) receiveStream(r *request, body io.Reader) bool {
 	lines := bufio.NewScanner(body)
-	last := 0
+	last := r.after
 	for lines.Scan() {
 		id, ok := strings.CutPrefix(lines.Text(), "id: ")
 		if !ok {
@@ -290,13 +297,18 @@
 			c.h.reportViolation("streams", "request %s got event %q after event %d", r.id, id, last)
 			return false
 		}
-		if !lines.Scan() || lines.Text() != fmt.Sprintf("data: %s %d", r.id, n) {
+		software, ok := "", lines.Scan()
+		if ok {
+			software, ok = strings.CutPrefix(lines.Text(), fmt.Sprintf("data: %s %d ", r.id, n))
+		}
+		if !ok {
 			if lines.Err() == nil && lines.Text() != "" {
 				c.h.reportViolation("streams", "request %s got the data %q in event %d", r.id, lines.Text(), n)
 			}
 			return false
 		}
-		last = n
+		c.checkSoftware(r, software)
+		last, r.after = n, n
 		c.h.audit.recordDelivery(r)
 	}
 	if lines.Err() != nil {
--- a/soak/runner_test.go
+++ b/soak/runner_test.go
@@ -47,6 +47,7 @@
 	id        string
 	service   string
 	index     int
+	software  string
 	proxy     *faultproxy.TCP
 	listener  net.Listener
 	behaviour atomic.Int32
@@ -73,12 +74,14 @@
 
 // startInstance starts a new instance at an address that another one may have had before.
 func (h *harness) startInstance(service string, index int) {
+	number := h.nextID.Add(1)
 	in := &instance{
-		h:       h,
-		id:      fmt.Sprintf("i-%s-%d-%d", service, index, h.nextID.Add(1)),
-		service: service,
-		index:   index,
-		conns:   map[net.Conn]bool{},
+		h:        h,
+		id:       fmt.Sprintf("i-%s-%d-%d", service, index, number),
+		service:  service,
+		index:    index,
+		software: softwareOf(int(number)),
+		conns:    map[net.Conn]bool{},
 	}
 	var err error
 	in.listener, err = net.Listen("tcp", h.instanceAddress(index, true).String())
@@ -225,8 +228,8 @@
 }
 
 // streamEvent returns one event of the stream that answers a request.
-func streamEvent(r *http.Request, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, r.Header.Get("Attempt-Id"), number)
+func (in *instance) streamEvent(r *http.Request, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", number, r.Header.Get("Attempt-Id"), number, in.software)
 }
 
 // stream sends the events after the last one that the caller received.
@@ -237,7 +240,7 @@
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := first + 1; i <= streamEvents; i++ {
 		time.Sleep(eventInterval)
-		text := streamEvent(r, i)
+		text := in.streamEvent(r, i)
 		if mode == behaviourTruncate && i == streamEvents/2 {
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(text), text[:8])
 			return false
--- a/soak/trouble_test.go
+++ b/soak/trouble_test.go
@@ -107,7 +107,7 @@
 	breaks := first == 0 && len(r.URL.RequestURI())%2 == 0
 	for i := first + 1; i <= streamEvents; i++ {
 		time.Sleep(eventInterval)
-		text := streamEvent(r, i)
+		text := in.streamEvent(r, i)
 		if breaks && i == streamEvents/2 {
 			_, _ = io.WriteString(conn, text[:8])
 			return false
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -316,6 +316,7 @@
 		Zone    string `json:"zone"`
 		Slots   int    `json:"slots"`
 		State   string `json:"state"`
+		Version string `json:"version"`
 	}
 	entries := []any{"not an entry"}
 	h.instancesMu.Lock()
@@ -337,6 +338,7 @@
 			Zone:    fmt.Sprintf("dc%d", in.index%3+1),
 			Slots:   16,
 			State:   state,
+			Version: in.software,
 		})
 	}
 	text, err := json.Marshal(map[string]any{
