--- /dev/null
+++ b/control/instances.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// instancesSince returns the latest instance list and its number if it is newer than the
+// list with the given number.
+func (r *Replica) instancesSince(number uint64, now time.Duration) (*InstanceList, uint64) {
+	if r.instancesNumber == number || r.instancesNumber == 0 {
+		return nil, number
+	}
+	list := r.instances
+	list.AgeMillis = (now - r.instancesAt).Milliseconds()
+	if number >= r.instancesChanged {
+		list.Unchanged = true
+		list.Instances = nil
+		list.Versions = nil
+		return &list, r.instancesNumber
+	}
+	versions := r.versions.Report(now)
+	list.Versions = &versions
+	return &list, r.instancesNumber
+}
+
+// SetInstances passes an instance list that this node has read to the other replicas and
+// to the subscribers.
+func (r *Replica) SetInstances(instances []routing.Instance) {
+	r.do(func() {
+		versions := r.versions.Report(clock.SinceBoot())
+		list := InstanceList{
+			Reader:    r.cfg.Node,
+			Number:    r.instancesNumber + 1,
+			Instances: instances,
+			Versions:  &versions,
+		}
+		r.applyInstances(list)
+		for _, a := range r.peers {
+			r.cfg.Endpoint.Send(a.Address, MethodInstances, list)
+		}
+	})
+}
+
+// applyInstances stores an instance list read by this node or by another one.
+func (r *Replica) applyInstances(list InstanceList) {
+	r.instancesNumber++
+	if r.instancesNumber == 1 || !slices.Equal(r.instances.Instances, list.Instances) {
+		r.instancesChanged = r.instancesNumber
+	}
+	r.instances = list
+	r.instancesAt = clock.SinceBoot()
+	if list.Versions != nil {
+		r.versions.Merge(*list.Versions, r.instancesAt)
+	}
+	r.versions.Observe(list.Instances, r.instancesAt)
+	r.notify(effects{routing: true})
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
@@ -375,58 +374,6 @@
 	return behind || r.failed != nil || !r.core.UpToDate(now, leaderTimeout)
 }
 
-// instancesSince returns the latest instance list and its number if it is newer than the
-// list with the given number.
-func (r *Replica) instancesSince(number uint64, now time.Duration) (*InstanceList, uint64) {
-	if r.instancesNumber == number || r.instancesNumber == 0 {
-		return nil, number
-	}
-	list := r.instances
-	list.AgeMillis = (now - r.instancesAt).Milliseconds()
-	if number >= r.instancesChanged {
-		list.Unchanged = true
-		list.Instances = nil
-		list.Versions = nil
-		return &list, r.instancesNumber
-	}
-	versions := r.versions.Report(now)
-	list.Versions = &versions
-	return &list, r.instancesNumber
-}
-
-// SetInstances passes an instance list that this node has read to the other replicas and
-// to the subscribers.
-func (r *Replica) SetInstances(instances []routing.Instance) {
-	r.do(func() {
-		versions := r.versions.Report(clock.SinceBoot())
-		list := InstanceList{
-			Reader:    r.cfg.Node,
-			Number:    r.instancesNumber + 1,
-			Instances: instances,
-			Versions:  &versions,
-		}
-		r.applyInstances(list)
-		for _, a := range r.peers {
-			r.cfg.Endpoint.Send(a.Address, MethodInstances, list)
-		}
-	})
-}
-
-// applyInstances stores an instance list read by this node or by another one.
-func (r *Replica) applyInstances(list InstanceList) {
-	r.instancesNumber++
-	if r.instancesNumber == 1 || !slices.Equal(r.instances.Instances, list.Instances) {
-		r.instancesChanged = r.instancesNumber
-	}
-	r.instances = list
-	r.instancesAt = clock.SinceBoot()
-	if list.Versions != nil {
-		r.versions.Merge(*list.Versions, r.instancesAt)
-	}
-	r.versions.Observe(list.Instances, r.instancesAt)
-	r.notify(effects{routing: true})
-}
-
 // holderEnded reports whether an incarnation of a node has ended.
 func (r *Replica) holderEnded(holder fleet.Holder) bool {
 	object, ok := r.machine.catalog.Object(catalog.Key{
--- /dev/null
+++ b/gateway/relaying.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/backend"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/placement"
+	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// HandleRelay handles MethodRelay. It sends the request to the instance over a connection of this node only, so
+// that no request circles.
+func (s *Server) HandleRelay(ctx context.Context, from fleet.NodeID, ch *wire.Channel) {
+	defer ch.Close()
+	request := RelayRequest{}
+	if err := ch.Receive(&request); err != nil {
+		s.cfg.Log.Warn(event.PeerLost).Str("from", string(from)).Err(err).Msg("cannot read a request to relay")
+		return
+	}
+	inFlight := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	buffers := allocation{budget: s.buffers}
+	defer buffers.release()
+	r := relaying{
+		s:       s,
+		request: request,
+		ch:      ch,
+	}
+	if s.draining.Load() || s.cfg.MaxInFlight > 0 && inFlight > s.cfg.MaxInFlight || !buffers.take(int64(len(request.Body)+relayChunkBytes)) {
+		r.refuse(RelayBusy)
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond, errDeadline)
+	defer cancel()
+	go func() {
+		// The other node sends nothing more. The end of the channel is all that there is to read.
+		_ = ch.Receive(&struct{}{})
+		cancel()
+	}()
+	r.run(ctx)
+}
+
+// relaying is a request that this node sends for another one.
+type relaying struct {
+	s       *Server
+	request RelayRequest
+	ch      *wire.Channel
+}
+
+func (r *relaying) refuse(refusal RelayRefusal) {
+	r.s.cfg.Log.Info(event.RequestRelayed).
+		Str("request", string(r.request.Request)).
+		Str("instance", string(r.request.Instance)).
+		Str("refusal", string(refusal)).
+		Msg("request of another node was not relayed")
+	_ = r.ch.Send(RelayResponse{Refusal: refusal})
+}
+
+func (r *relaying) run(ctx context.Context) {
+	s := r.s
+	instance, ok := s.dispatch.mayRelay(r.request)
+	switch {
+	case s.Isolated():
+		r.refuse(RelayIsolated)
+		return
+	case !ok:
+		r.refuse(RelayExcluded)
+		return
+	}
+	placed := &placement.Assignment{Instance: instance}
+	in, err := s.conns.Do(ctx, r.outgoing(placed))
+	sendErr := (*backend.SendError)(nil)
+	switch {
+	case err == nil:
+	case !eris.As(err, &sendErr) || sendErr.Sent:
+		s.conns.Retire(backendInstance(instance))
+		_ = r.ch.Send(RelayResponse{Error: newRelayError(err)})
+		return
+	case s.paths.awaitRound(ctx):
+		r.refuse(RelayIsolated)
+		return
+	default:
+		r.refuse(RelayUnreachable)
+		return
+	}
+	s.dispatch.responseRead(instance.Service, placed, s.cfg.Protocol.ReadResponse(in.Status, in.Header))
+	s.cfg.Log.Info(event.RequestRelayed).
+		Str("request", string(r.request.Request)).
+		Str("instance", string(r.request.Instance)).
+		Int("status", in.Status).
+		Msg("relays the response to a request of another node")
+	err = r.ch.Send(RelayResponse{
+		Status:  in.Status,
+		Header:  in.Header,
+		Length:  in.Length,
+		Framing: in.Framing,
+	})
+	in.Finish(err == nil && r.relayBody(in))
+}
+
+func (r *relaying) outgoing(placed *placement.Assignment) backend.Outgoing {
+	return backend.Outgoing{
+		Instance:   backendInstance(placed.Instance),
+		Method:     r.request.Method,
+		Target:     r.request.Target,
+		Host:       r.request.Host,
+		Header:     r.request.Header,
+		Body:       r.request.Body,
+		AtMostOnce: r.request.AtMostOnce,
+		Matches: func(status int, header http.Header) bool {
+			return r.s.cfg.Protocol.Matches(r.request.Request, status, header)
+		},
+		Revoked: func() bool {
+			return !r.s.dispatch.maySend(placed.Instance.Service, placed, r.request.Permitted)
+		},
+	}
+}
+
+// relayBody relays the body of a response and reports whether it was read to its end.
+func (r *relaying) relayBody(in *backend.Incoming) bool {
+	buffer := make([]byte, relayChunkBytes)
+	for {
+		n, err := in.Body.Read(buffer)
+		chunk := RelayChunk{Data: buffer[:n]}
+		switch {
+		case err == io.EOF:
+			chunk.End = true
+		case err != nil:
+			chunk.Error = newRelayError(err)
+		}
+		if sendErr := r.ch.Send(chunk); sendErr != nil || err != nil {
+			return sendErr == nil && err == io.EOF
+		}
+	}
+}
+
+// mayRelay returns the instance of a request of another node. It returns false if the instance takes no requests
+// from this node, or is not known to it.
+func (d *dispatcher) mayRelay(r RelayRequest) (instance routing.Instance, ok bool) {
+	d.DoAndWait(func() {
+		instance, ok = d.instances[r.Instance]
+		ok = ok && instance.Born == r.Born &&
+			d.forecast(instance.Service).MaySend(&placement.Assignment{Instance: instance}, r.Permitted, clock.SinceBoot())
+	})
+	return instance, ok
+}
