Logs and metrics say how long a configuration is unconfirmed, and why a subscription ended

Event 302 had the same text for a silent replica and for a channel that the VM closed for another reason; a 404 did not say how old the knowledge was that decided it. 302 now names the cause, how long the subscription lasted and how many updates came; 302, 305, 405 and 406 have unconfirmedMillis; there is a gauge. No decision depends on it.

--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -144,8 +144,11 @@
 	upNodes []fleet.NodeID
 	leader  atomic.Pointer[netip.AddrPort]
 	// followed is the replica of the current subscription.
-	followed           atomic.Pointer[netip.AddrPort]
-	controlReachable   atomic.Bool
+	followed         atomic.Pointer[netip.AddrPort]
+	controlReachable atomic.Bool
+	// confirmedAt is the boot clock's time in nanoseconds for which the configuration was last
+	// confirmed, 0 if it never was.
+	confirmedAt        atomic.Int64
 	rejected           atomic.Bool
 	heartbeatRequested chan struct{}
 
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,9 +36,10 @@
 		if staleInRow >= len(replicas)-1 {
 			patience = staleSwitchDelay
 		}
+		started := time.Now()
 		address, wasFresh, err := c.subscribe(append(slices.Clone(replicas[first:]), replicas[:first]...), patience)
 		if c.ctx.Err() == nil {
-			c.cfg.Log.Warn(event.ControlLost).Str("replica", address.String()).Err(err).Msg("subscription ended")
+			c.logLost(address, time.Since(started), wasFresh, err)
 		}
 		switch {
 		case wasFresh:
@@ -53,6 +55,19 @@
 	}
 }
 
+// logLost logs the end of a subscription with what tells its causes apart.
+func (c *Client) logLost(address netip.AddrPort, lasted time.Duration, wasFresh bool, err error) {
+	line := c.cfg.Log.Warn(event.ControlLost).
+		Str("replica", address.String()).
+		Int64("lastedMillis", lasted.Milliseconds()).
+		Bool("wasFresh", wasFresh).
+		Err(err)
+	if age := c.Unconfirmed(); age != NeverConfirmed {
+		line = line.Int64("unconfirmedMillis", age.Milliseconds())
+	}
+	line.Msg("subscription ended")
+}
+
 // openResult is the open channel to a replica, or the error if it could not be opened.
 type openResult struct {
 	address netip.AddrPort
@@ -166,13 +181,10 @@
 func (c *Client) receiveUpdates(address netip.AddrPort, ch *wire.Channel, patience time.Duration) (wasFresh bool, err error) {
 	known := map[fleet.NodeID]roster.Report{}
 	staleSince := time.Time{}
-	for {
-		watchdog := time.AfterFunc(updateTimeout, ch.Close)
-		update := control.Update{}
-		err := ch.Receive(&update)
-		watchdog.Stop()
+	for updates := 0; ; updates++ {
+		update, err := receiveUpdate(ch, updates)
 		if err != nil {
-			return wasFresh, err
+			return wasFresh, eris.Wrapf(err, "replica %s", address)
 		}
 		switch {
 		case !update.Stale:
@@ -194,6 +206,22 @@
 	}
 }
 
+// receiveUpdate waits for an update until updateTimeout.
+func receiveUpdate(ch *wire.Channel, received int) (control.Update, error) {
+	timedOut := atomic.Bool{}
+	watchdog := time.AfterFunc(updateTimeout, func() {
+		timedOut.Store(true)
+		ch.Close()
+	})
+	defer watchdog.Stop()
+	update := control.Update{}
+	err := ch.Receive(&update)
+	if err != nil && timedOut.Load() {
+		return update, eris.Errorf("controlclient: no update for %s, after %d updates", updateTimeout, received)
+	}
+	return update, err
+}
+
 // applyUpdate applies an update and passes its parts to the handler and the watcher.
 func (c *Client) applyUpdate(address netip.AddrPort, update control.Update, known map[fleet.NodeID]roster.Report) {
 	if !update.Stale && !c.controlReachable.Swap(true) {
@@ -222,6 +250,9 @@
 		}
 	}
 	c.applyRouting(update)
+	if !update.Stale {
+		c.confirm(clock.SinceBoot())
+	}
 	if len(update.Roster) > 0 {
 		c.applyRoster(update.Roster, known)
 	}
@@ -251,8 +282,11 @@
 	if update.Routing != nil && update.Routing.Version > c.routingVersion() {
 		view := routing.NewView(*update.Routing)
 		c.routing.Store(view)
-		c.cfg.Log.Info(event.RoutingInForce).
-			Uint64("version", uint64(update.Routing.Version)).
+		line := c.cfg.Log.Info(event.RoutingInForce)
+		if age := c.Unconfirmed(); age != NeverConfirmed {
+			line = line.Int64("unconfirmedMillis", age.Milliseconds())
+		}
+		line.Uint64("version", uint64(update.Routing.Version)).
 			Int("routes", len(update.Routing.Routes)).
 			Int("workspaces", len(update.Routing.Workspaces)).
 			Msg("configuration of routed requests in force")
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -40,10 +40,11 @@
 	return control.Result{}, ctx.Err()
 }
 
-func (unreachableControl) Holder() fleet.Holder    { return fleet.Holder{Node: "n1"} }
-func (unreachableControl) ControlReachable() bool  { return false }
-func (unreachableControl) Roster() []roster.Report { return nil }
-func (unreachableControl) SendHeartbeat()          {}
+func (unreachableControl) Holder() fleet.Holder       { return fleet.Holder{Node: "n1"} }
+func (unreachableControl) ControlReachable() bool     { return false }
+func (unreachableControl) Unconfirmed() time.Duration { return 0 }
+func (unreachableControl) Roster() []roster.Report    { return nil }
+func (unreachableControl) SendHeartbeat()             {}
 
 func (unreachableControl) FindOrigin(context.Context, origin.Key) (origin.Answer, error) {
 	return origin.Answer{}, controlclient.ErrUnavailable
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,9 @@
 	Submit(ctx context.Context, command control.Command) (control.Result, error)
 	Holder() fleet.Holder
 	ControlReachable() bool
+	// Unconfirmed returns the time since the latest moment for which the configuration is known to
+	// have been the newest.
+	Unconfirmed() time.Duration
 	Roster() []roster.Report
 	// SendHeartbeat requests a heartbeat at once.
 	SendHeartbeat()
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -63,8 +63,9 @@
 	fleet *isolatedFleet
 }
 
-func (c rosterControl) ControlReachable() bool  { return true }
-func (c rosterControl) Roster() []roster.Report { return c.fleet.roster() }
+func (c rosterControl) ControlReachable() bool     { return true }
+func (c rosterControl) Unconfirmed() time.Duration { return 0 }
+func (c rosterControl) Roster() []roster.Report    { return c.fleet.roster() }
 
 // isolatedFleet is a fleet whose nodes have paths of their own to the instances.
 type isolatedFleet struct {
--- a/gateway/mesh_test.go
+++ b/gateway/mesh_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -161,6 +162,8 @@
 }
 
 // ControlReachable implements ControlClient.
+func (m *mesh) Unconfirmed() time.Duration { return 0 }
+
 func (m *mesh) ControlReachable() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -64,6 +64,7 @@
 	if view := s.view.Load(); view != nil {
 		gauge("configuration_version", float64(view.Config.Version))
 	}
+	gauge("configuration_unconfirmed_seconds", s.cfg.Control.Unconfirmed().Seconds())
 	gauge("control_group_in_reach", metrics.BoolValue(s.cfg.Control.ControlReachable()))
 	if quotaManager := s.quotaManager.Load(); quotaManager != nil {
 		free, reserved := sumHoldings(quotaManager)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -294,6 +294,7 @@
 		Int64("costTokens", int64(x.request.MaxCost())).
 		Bool("mayHaveRun", x.mayHaveRun).
 		Bool("controlFresh", x.s.cfg.Control.ControlReachable()).
+		Int64("unconfirmedMillis", x.s.cfg.Control.Unconfirmed().Milliseconds()).
 		Int64("tookMillis", duration.Milliseconds()).
 		Int64("leftMillis", (x.deadline-clock.SinceBoot()).Milliseconds()).
 		AnErr("error", err).
