--- /dev/null
+++ b/consensus/delayed_test.go
@@ -0,0 +1,57 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+)
+
+// TestDelayedHeartbeatCountsAsFresh cuts a follower off while messages to it are in flight, lets
+// the others commit more, and delivers the old messages late, as a connection does that repeats
+// what was lost. They must not make the follower count as up to date. Guards against replicas that
+// give out an old configuration as the newest.
+func TestDelayedHeartbeatCountsAsFresh(t *testing.T) {
+	c := newDirectCluster(3)
+	for c.leader() == nil {
+		c.tick()
+		c.deliver(nil, func() {})
+	}
+	leader := c.leader()
+	follower := ReplicaID(1)
+	if leader.cfg.ID == follower {
+		follower = 2
+	}
+	for range 20 {
+		c.tick()
+		c.deliver(nil, func() {})
+	}
+	c.tick()
+	var delayed []Message
+	for _, m := range c.network {
+		if m.To == follower {
+			delayed = append(delayed, m)
+		}
+	}
+	cut := []ReplicaID{follower}
+	c.deliver(cut, func() {})
+	sent := c.now
+	if _, _, ok := leader.Propose([]byte("newer")); !ok {
+		t.Fatal("the leader takes no command")
+	}
+	c.collect(leader)
+	for c.now-sent <= 2*uptodateWithin {
+		c.deliver(cut, func() {})
+		c.tick()
+	}
+	if len(delayed) == 0 {
+		t.Fatal("no message was in flight")
+	}
+	core := c.cores[follower]
+	for _, m := range delayed {
+		m.Term = max(m.Term, core.Term())
+		core.Step(m, c.now)
+		c.collect(core)
+	}
+	if core.UpToDate(c.now, uptodateWithin) {
+		t.Errorf("got a replica up to date by messages sent %s ago, want it not up to date after %s", (c.now - sent).Round(time.Millisecond), uptodateWithin)
+	}
+}
--- /dev/null
+++ b/controlclient/silent_test.go
@@ -0,0 +1,63 @@
+package controlclient
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
+)
+
+// configurationBound is the time within which a configuration is promised to be in force.
+const configurationBound = 2 * time.Second
+
+// serveSilent serves subscriptions as the connection to a killed process does: it opens, and
+// nothing comes. If first is not nil it is sent once, and its time to silentSince.
+func serveSilent(t *testing.T, node fleet.NodeID, first *control.Update, silentSince chan<- time.Time) netip.AddrPort {
+	t.Helper()
+	e := newEndpoint(t, node)
+	e.HandleChannel(control.MethodSubscribe, func(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
+		if first != nil && ch.Send(*first) == nil {
+			silentSince <- time.Now()
+			first = nil
+		}
+		<-ctx.Done()
+	})
+	e.Start()
+	return e.Address()
+}
+
+// TestSilentReplicasDelayConfiguration has a node whose replica falls silent, as do the next ones
+// that it has connections to, while another replica has a newer configuration: the control group was
+// killed and its processes start again one after the other. Guards against a configuration that is
+// not in force in time.
+func TestSilentReplicasDelayConfiguration(t *testing.T) {
+	silentSince := make(chan time.Time, 1)
+	c := New(Config{
+		Holder:   fleet.Holder{Node: "entry"},
+		Endpoint: newEndpoint(t, "entry"),
+		Replicas: []netip.AddrPort{
+			serveSilent(t, "followed", &control.Update{Routing: &routing.Config{Version: 6}}, silentSince),
+			serveSilent(t, "silent-1", nil, nil),
+			serveSilent(t, "silent-2", nil, nil),
+			serveReplica(t, "fresh", 0, control.Update{Routing: &routing.Config{Version: 7}}),
+		},
+		Report: func() roster.Report { return roster.Report{} },
+		Log:    event.New(io.Discard, "entry"),
+	})
+	defer c.Close()
+	since := <-silentSince
+	for c.routingVersion() != 7 && time.Since(since) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(since); took > configurationBound {
+		t.Errorf("got the newer configuration %s after the followed replica fell silent, want it within %s", took.Round(time.Millisecond), configurationBound)
+	}
+}
