A restarted process resets the connections of the one before it

Callers saw 404 for routes that had been acknowledged 2 s before. A control process that is killed tells its peers nothing; they counted their connections to it as open until 3 s after the last packet, though the next process ran after one. Each of those connections cost the VM 1.3 s. The new process now answers with QUIC's stateless reset, by a key that all processes at an address share. Builds before this one accept such resets, since they are part of QUIC; they send none, and are noticed by the timeouts as before.

--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -12,6 +12,10 @@
 // ping each second and closes it after three seconds without a packet from the peer. All its
 // streams then end with an error, and the next use dials a new connection from the same port.
 //
+// A process that is killed tells its peers nothing. The next process at its address does: it
+// answers packets of connections that it does not know with QUIC's stateless reset, which its peers
+// accept because the key of the reset tokens depends only on the fleet's secret and the address.
+//
 // Entry nodes have a connection to each of dozens of others, most of which are idle at any time,
 // so the pings would cost more than the calls. Such peers are pinged rarely (see Sparse): their
 // calls have short timeouts, and some timeouts in a row close the connection.
@@ -125,11 +129,19 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "wire: listen on %s", cfg.Listen)
 	}
+	resetKey, err := statelessResetKey(cfg.Secret, socket.LocalAddr().String())
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Endpoint{
-		cfg:       cfg,
-		socket:    socket,
-		transport: &quic.Transport{Conn: socket},
+		cfg:    cfg,
+		socket: socket,
+		transport: &quic.Transport{
+			Conn:              socket,
+			StatelessResetKey: resetKey,
+		},
 		quicConfig: &quic.Config{
 			HandshakeIdleTimeout:  handshakeTimeout,
 			MaxIdleTimeout:        idleTimeout,
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 )
 
@@ -54,6 +55,17 @@
 	}, nil
 }
 
+// statelessResetKey derives the key of the reset tokens of the processes at an address.
+func statelessResetKey(secret, address string) (*quic.StatelessResetKey, error) {
+	key := quic.StatelessResetKey{}
+	raw, err := hkdf.Key(sha256.New, []byte(secret), []byte(address), "waxwingreel stateless reset", len(key))
+	if err != nil {
+		return nil, eris.Wrap(err, "wire: derive the key of stateless resets")
+	}
+	copy(key[:], raw)
+	return &key, nil
+}
+
 // verifyKey returns a check that the peer's certificate has the key want.
 func verifyKey(want ed25519.PublicKey) func([][]byte, [][]*x509.Certificate) error {
 	return func(raw [][]byte, _ [][]*x509.Certificate) error {
