Replicas count as up to date by when their leader sent, not by when its message arrived

A connection repeats what was lost: after a cut, heartbeats from before it arrive late, and a replica took them for news. It then gave out an old configuration as the newest for 1.5 s more. Messages have the sender's clock, and repeat the latest one from the receiver: a message can't be older than what it repeats. Messages of the build before this one have neither field and count as before; it ignores them.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -115,9 +115,13 @@
 	installedSnapshot *Snapshot
 	leader            ReplicaID
 	lastLeaderContact time.Duration
-	// lastFresh is when the last message arrived from a leader that held its lease,
-	// leaderCommit the highest commit index that a leader has sent.
-	lastFresh        time.Duration
+	// lastFresh is the latest time after which a leader has sent a message while it held its
+	// lease, leaderCommit the highest commit index that a leader has sent.
+	lastFresh time.Duration
+	// stampBase is added to the time in the stamps of this process, so that an echo of an earlier
+	// process's stamp is recognized. stamps are the latest ones from the other members.
+	stampBase        int64
+	stamps           map[ReplicaID]int64
 	leaderCommit     Index
 	electionDeadline time.Duration
 	nextHeartbeat    time.Duration
@@ -153,6 +157,8 @@
 		commit:            cfg.Snapshot.Index,
 		applied:           cfg.Snapshot.Index,
 		lastLeaderContact: cfg.Now,
+		stampBase:         1 + rand.New(rand.NewPCG(uint64(cfg.ID), uint64(cfg.Now))).Int64N(1<<61),
+		stamps:            map[ReplicaID]int64{},
 	}
 	c.persisted = c.log.lastIndex()
 	c.firstUnsaved = c.persisted + 1
@@ -256,8 +262,8 @@
 	return contacts[len(contacts)/2]
 }
 
-// UpToDate reports whether the replica has received a message from a leader that held its
-// lease within the given time and has applied all that the leader had committed. A replica that is
+// UpToDate reports whether the replica has a message that a leader sent within the given time while
+// it held its lease, and has applied all that the leader had committed. A replica that is
 // not up to date may be partitioned from its leader. A leader is up to date while it
 // holds its lease.
 func (c *Core) UpToDate(now, within time.Duration) bool {
@@ -267,6 +273,15 @@
 	return c.leader != 0 && now-c.lastFresh <= within && c.applied >= c.leaderCommit
 }
 
+// FreshAt returns the latest time before which nothing was acknowledged that this replica has not
+// applied. It is meaningful only while the replica is up to date.
+func (c *Core) FreshAt(now time.Duration) time.Duration {
+	if c.role == RoleLeader {
+		return now
+	}
+	return c.lastFresh
+}
+
 // Output returns the pending work and clears it.
 func (c *Core) Output() Output {
 	out := Output{
@@ -379,6 +394,11 @@
 
 func (c *Core) refreshMembers() {
 	c.members, c.membersIndex = c.log.membership()
+	for id := range c.stamps {
+		if _, member := c.members.Find(id); !member {
+			delete(c.stamps, id)
+		}
+	}
 }
 
 func (c *Core) setHardState(hard HardState) {
@@ -414,6 +434,8 @@
 func (c *Core) fillHeader(m Message) Message {
 	m.Group = c.cfg.Group
 	m.From = c.cfg.ID
+	m.Stamp = c.stampBase + int64(c.now)
+	m.Echo = c.stamps[m.To]
 	if m.Term == 0 {
 		m.Term = c.hardState.Term
 	}
--- a/consensus/delayed_test.go
+++ b/consensus/delayed_test.go
@@ -55,3 +55,32 @@
 		t.Errorf("got a replica up to date by messages sent %s ago, want it not up to date after %s", (c.now - sent).Round(time.Millisecond), uptodateWithin)
 	}
 }
+
+// stripStamps removes the stamps from the messages in flight from and to a replica, as a version
+// that does not know them sends none and reads none.
+func (c *directCluster) stripStamps(old ReplicaID) {
+	for i := range c.network {
+		if m := &c.network[i]; m.From == old || m.To == old {
+			m.Stamp, m.Echo = 0, 0
+		}
+	}
+}
+
+// TestReplicasOfOldVersionAreUpToDate runs groups in which one replica, or none, is of a version
+// without stamps. All must count as up to date. Guards against a rolling upgrade that leaves the
+// entry nodes without a replica.
+func TestReplicasOfOldVersionAreUpToDate(t *testing.T) {
+	for old := range ReplicaID(4) {
+		c := newDirectCluster(3)
+		for range 100 {
+			c.tick()
+			c.stripStamps(old)
+			c.deliver(nil, func() { c.stripStamps(old) })
+		}
+		for id, core := range c.cores {
+			if !core.UpToDate(c.now, uptodateWithin) {
+				t.Errorf("with replica %d of an old version: got replica %d not up to date", old, id)
+			}
+		}
+	}
+}
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -144,6 +144,12 @@
 	// Isolated is set if the leader did not hold its lease when it sent the message, so
 	// that a later leader may have committed more than it knows.
 	Isolated bool `json:"isolated,omitempty"`
+	// Stamp is the time at which the sender sent the message, on a clock of its own. Echo is the
+	// latest stamp that it had from the receiver, or 0. A message may arrive long after it was
+	// sent; the echo shows the receiver how old it can be at most. Replicas of versions without
+	// these fields send 0 in both.
+	Stamp int64 `json:"stamp,omitempty"`
+	Echo  int64 `json:"echo,omitempty"`
 	// Round numbers the leader's messages. A response repeats it, so that the
 	// leader can look up when it sent the original message.
 	Round  uint64 `json:"round,omitempty"`
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -391,17 +391,33 @@
 	c.lastLeaderContact = c.now
 	c.leaderCommit = max(c.leaderCommit, m.Commit)
 	if !m.Isolated {
-		c.lastFresh = c.now
+		c.lastFresh = max(c.lastFresh, c.sentAfter(m))
 	}
 	c.resetElectionDeadline()
 }
 
+// sentAfter returns a time before which a message was certainly not sent, or 0 if there is none. A
+// message without a stamp comes from a version that sends none, and counts as sent when it arrives.
+func (c *Core) sentAfter(m Message) time.Duration {
+	if m.Stamp == 0 {
+		return c.now
+	}
+	at := time.Duration(m.Echo - c.stampBase)
+	if at < c.cfg.Now || at > c.now {
+		return 0
+	}
+	return at
+}
+
 // Step processes a message from another replica.
 func (c *Core) Step(m Message, now time.Duration) {
 	c.now = max(c.now, now)
 	if m.To != c.cfg.ID || m.Group != c.cfg.Group || !m.valid() {
 		return
 	}
+	if _, member := c.members.Find(m.From); member && m.Stamp != 0 {
+		c.stamps[m.From] = m.Stamp
+	}
 	switch m.Kind {
 	case MessagePreVote:
 		c.onPreVote(m)
