Entry nodes follow a replica by its updates, and search another one while it is silent

Callers saw 404 for routes that had been acknowledged 2 s before. A node gave a silent replica 1.3 s and then took the next one that a channel could be opened to; that needs no response, so replicas that had been killed came first, 1.3 s each (events 302: no update for 1.3s, after 0 updates, two or three in a row). The first update decides now. A search asks up to three replicas at once; it begins when the followed one is silent for 0.8 s or stale, and that one is kept until another is up to date. Probes carry no reports, so that only the followed replica is told what the node knows of streams and crashes. Updates repeat the node's clock and say how old the replica's proof is: a late update confirms nothing new.

--- a/control/origins_test.go
+++ b/control/origins_test.go
@@ -20,7 +20,7 @@
 		Caller:  "w",
 		Request: "a",
 	}
-	replicas[0].handleHeartbeat(Heartbeat{
+	replicas[0].handleHeartbeat(&subscriber{}, Heartbeat{
 		Report: roster.Report{Holder: fleet.Holder{Node: "entry"}},
 		Origins: []origin.Record{{
 			Key: key,
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -153,6 +153,11 @@
 	Routing routing.Version `json:"routing,omitempty"`
 	// Full requests the whole roster and all open recalls again.
 	Full bool `json:"full,omitempty"`
+	// Probe is set while the node only asks whether the replica is up to date. The replica sends
+	// nothing else until a heartbeat without it, and does not count the node as alive by it.
+	Probe bool `json:"probe,omitempty"`
+	// Sent is the node's boot clock when it sent the heartbeat, in nanoseconds. Updates repeat it.
+	Sent int64 `json:"sent,omitempty"`
 	// Evidence is what the node has newly observed of parts of prompts. The first heartbeat of a
 	// subscription repeats recent crashes and has the suspensions that the node knows, for a
 	// replica that was out of reach or has started since.
@@ -173,9 +178,13 @@
 	// Stale is set if the replica has not received a message from its leader recently,
 	// has failed, or has not applied all that the leader has committed. Its
 	// configuration may then be outdated, so it sends none.
-	Stale   bool            `json:"stale,omitempty"`
-	Delta   *catalog.Delta  `json:"delta,omitempty"`
-	Routing *routing.Config `json:"routing,omitempty"`
+	Stale bool `json:"stale,omitempty"`
+	// Echo is Sent of the latest heartbeat, and FreshMicros the age of the replica's latest proof
+	// that its configuration is the newest. Both are 0 in the updates of replicas that know neither.
+	Echo        int64           `json:"echo,omitempty"`
+	FreshMicros int64           `json:"freshMicros,omitempty"`
+	Delta       *catalog.Delta  `json:"delta,omitempty"`
+	Routing     *routing.Config `json:"routing,omitempty"`
 	// Instances is the latest instance list.
 	Instances *InstanceList   `json:"instances,omitempty"`
 	Roster    []roster.Report `json:"roster,omitempty"`
--- a/control/serve.go
+++ b/control/serve.go
@@ -175,6 +175,10 @@
 	limitsNumber uint64
 	recalls      chan []ledger.Recall
 	sendFull     bool
+	// probes is whether the latest heartbeat was a probe, and echo the time in it. Both are accessed
+	// only by the replica's goroutine.
+	probes bool
+	echo   int64
 }
 
 // serveSubscriber receives an entry node's heartbeats and sends updates to it.
@@ -191,7 +195,7 @@
 		recalls:        make(chan []ledger.Recall, 64),
 		sendFull:       true,
 	}
-	r.handleHeartbeat(first)
+	r.handleHeartbeat(s, first)
 	r.subscribersMu.Lock()
 	r.subscribers[s] = struct{}{}
 	r.subscribersMu.Unlock()
@@ -204,25 +208,35 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		r.receiveHeartbeats(ch)
+		r.receiveHeartbeats(s, ch)
 	}()
 	r.sendUpdates(ctx, s, ch)
 	ch.Close()
 }
 
-func (r *Replica) receiveHeartbeats(ch *wire.Channel) {
+// receiveHeartbeats handles heartbeats. Each is followed by an update, which shows the node how long
+// ago its configuration was the newest.
+func (r *Replica) receiveHeartbeats(s *subscriber, ch *wire.Channel) {
 	for {
 		heartbeat := Heartbeat{}
-		if ch.Receive(&heartbeat) != nil || !r.handleHeartbeat(heartbeat) {
+		if ch.Receive(&heartbeat) != nil || !r.handleHeartbeat(s, heartbeat) {
 			return
 		}
+		select {
+		case s.notify <- struct{}{}:
+		default:
+		}
 	}
 }
 
 // handleHeartbeat records an entry node's report. It returns false if the replica is
 // stopping.
-func (r *Replica) handleHeartbeat(heartbeat Heartbeat) bool {
+func (r *Replica) handleHeartbeat(s *subscriber, heartbeat Heartbeat) bool {
 	return r.do(func() {
+		s.probes, s.echo = heartbeat.Probe, heartbeat.Sent
+		if heartbeat.Probe {
+			return
+		}
 		now := clock.SinceBoot()
 		node := heartbeat.Report.Holder.Node
 		heartbeat.Report.AgeMillis = 0
@@ -299,6 +313,7 @@
 		if !r.do(func() { update = r.update(s) }) || ch.Send(update) != nil {
 			return
 		}
+		ticker.Reset(updateInterval)
 		if update.Delta != nil {
 			s.catalogVersion = update.Delta.To
 		}
@@ -337,11 +352,16 @@
 func (r *Replica) update(s *subscriber) Update {
 	now := clock.SinceBoot()
 	update := Update{
-		Stale:        r.staleFor(s, now),
-		Leader:       r.leaderAddress(),
-		EndedHolders: r.machine.ledger.UnconfirmedBy(s.holder.Node),
-		Ended:        r.holderEnded(s.holder),
+		Stale:       r.staleFor(s, now),
+		Echo:        s.echo,
+		FreshMicros: (now - r.core.FreshAt(now)).Microseconds(),
+		Leader:      r.leaderAddress(),
+	}
+	if s.probes {
+		return update
 	}
+	update.EndedHolders = r.machine.ledger.UnconfirmedBy(s.holder.Node)
+	update.Ended = r.holderEnded(s.holder)
 	if !update.Stale && r.machine.catalog.Version() > s.catalogVersion {
 		delta := r.machine.catalog.Since(s.catalogVersion)
 		update.Delta = &delta
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -29,19 +29,21 @@
 
 // Timeouts and intervals of the control client.
 const (
-	// updateTimeout is the time without an update after which another replica is
-	// tried. A replica sends an update at least every half second.
+	// updateTimeout is the time without an update after which a replica is given up. A replica
+	// sends an update at least every half second.
 	updateTimeout = 1300 * time.Millisecond
+	// searchDelay is the time without an update after which another replica is searched, while the
+	// node still follows the silent one.
+	searchDelay = 800 * time.Millisecond
 	// staleGracePeriod is how long a replica may be stale before the control group
 	// counts as unreachable. A busy replica can lag behind its leader briefly.
 	staleGracePeriod = 400 * time.Millisecond
-	// staleSwitchDelay is how long a replica may be stale before another one is
-	// tried, if all others were stale too. A replica reports itself stale only 1.5 s after the last message
-	// from its leader.
-	staleSwitchDelay = 700 * time.Millisecond
-	retryInterval    = 50 * time.Millisecond
-	attemptTimeout   = 1500 * time.Millisecond
-	// dialStagger is the time between the starts of two connection attempts, a few
+	// stalePatience is how long a search waits for a stale replica to become fresh before it asks
+	// another one in its place.
+	stalePatience  = 400 * time.Millisecond
+	retryInterval  = 50 * time.Millisecond
+	attemptTimeout = 1500 * time.Millisecond
+	// dialStagger is the time between the starts of two probes of a search, a few
 	// round trips.
 	dialStagger = 150 * time.Millisecond
 	// submitTimeout is the time to wait for the response to a command before another
--- a/controlclient/freshness.go
+++ b/controlclient/freshness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
 )
 
 // NeverConfirmed is what Unconfirmed returns before the first confirmation.
@@ -29,3 +30,13 @@
 		}
 	}
 }
+
+// freshAt returns the time, on this node's boot clock, before which nothing was acknowledged that an
+// update and those before it lack. The replica sent the update after the heartbeat that it repeats,
+// however long it was on its way. Replicas of versions that repeat none count by its arrival.
+func freshAt(update control.Update, now time.Duration) time.Duration {
+	if update.Echo == 0 {
+		return now
+	}
+	return min(time.Duration(update.Echo), now) - time.Duration(update.FreshMicros)*time.Microsecond
+}
--- /dev/null
+++ b/controlclient/search.go
@@ -0,0 +1,213 @@
+package controlclient
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/waxwingreel/waxwingreel/event"
+)
+
+// maxProbes is the number of replicas that a search asks at the same time.
+const maxProbes = 3
+
+// Errors of subscriptions and probes.
+var (
+	errStale    = eris.New("controlclient: the control replica is stale: it is not up to date with a leader")
+	errReplaced = eris.New("controlclient: another replica is up to date, this one is not")
+)
+
+// search finds a replica that is up to date. It asks several at once, since the timeouts of those that
+// do not respond, and the patience with those that are stale, would add up.
+type search struct {
+	c     *Client
+	found chan *subscription
+	ctx   context.Context
+	stop  context.CancelFunc
+	// ended is closed when no more can be found.
+	ended chan struct{}
+
+	mu sync.Mutex
+	// excluded is the replica that the node still follows.
+	excluded netip.AddrPort
+}
+
+// probeResult is the end of a probe: a subscription whose latest update is fresh, or an error. While
+// a probe of a stale replica goes on, it sends one with stillStale set.
+type probeResult struct {
+	address    netip.AddrPort
+	s          *subscription
+	err        error
+	stillStale bool
+}
+
+// startSearch starts a search that begins with the replica after last. While the node still follows a
+// subscription, its replica is not asked.
+func (c *Client) startSearch(last netip.AddrPort, followed *subscription) *search {
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := &search{
+		c:     c,
+		found: make(chan *subscription, 1),
+		ended: make(chan struct{}),
+		ctx:   ctx,
+		stop:  cancel,
+	}
+	if followed != nil {
+		s.excluded = followed.address
+	}
+	c.wait.Go(func() { s.run(last) })
+	return s
+}
+
+// discard stops the search and closes what it has found.
+func (s *search) discard() {
+	s.stop()
+	s.c.wait.Go(func() {
+		<-s.ended
+		select {
+		case sub := <-s.found:
+			sub.close()
+		default:
+		}
+	})
+}
+
+// include ends the exclusion of the replica that the node followed.
+func (s *search) include() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.excluded = netip.AddrPort{}
+}
+
+// next returns the replica after last that may be asked and is not in active.
+func (s *search) next(last netip.AddrPort, active map[netip.AddrPort]bool) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	replicas := s.c.Replicas()
+	first := slices.Index(replicas, last) + 1
+	for i := range replicas {
+		address := replicas[(first+i)%len(replicas)]
+		if address != s.excluded && !active[address] {
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// run probes replicas until one is found. It starts a further probe dialStagger after the one before,
+// or at once if that has shown its replica to be stale, and retryInterval after a probe has failed.
+func (s *search) run(last netip.AddrPort) {
+	defer close(s.ended)
+	defer s.stop()
+	active := map[netip.AddrPort]bool{}
+	results := make(chan probeResult)
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-due.C:
+			if address, ok := s.next(last, active); ok && len(active) < maxProbes {
+				last = address
+				active[address] = true
+				s.c.wait.Go(func() { s.probe(address, results) })
+			}
+			due.Reset(dialStagger)
+		case result := <-results:
+			switch {
+			case result.s != nil:
+				s.found <- result.s
+				return
+			case result.stillStale:
+				due.Reset(0)
+			default:
+				delete(active, result.address)
+				s.c.logProbe(result)
+				due.Reset(retryInterval)
+			}
+		}
+	}
+}
+
+// probe opens a subscription and reports it once the replica is up to date. It gives a replica up
+// that sends nothing for updateTimeout or stays stale for stalePatience.
+func (s *search) probe(address netip.AddrPort, results chan<- probeResult) {
+	sub, err := s.c.openSubscription(s.ctx, address)
+	if err != nil {
+		s.report(results, probeResult{
+			address: address,
+			err:     err,
+		})
+		return
+	}
+	stop := context.AfterFunc(s.ctx, sub.close)
+	result := probeResult{
+		address: address,
+		err:     s.awaitFresh(sub, results),
+	}
+	// The subscription that is found outlives the search.
+	if result.err == nil && stop() {
+		result.s = sub
+	}
+	if !s.report(results, result) || result.s == nil {
+		sub.close()
+	}
+}
+
+// report passes a result to run and reports whether the search still goes on.
+func (s *search) report(results chan<- probeResult, result probeResult) bool {
+	select {
+	case results <- result:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// awaitFresh waits until the replica is up to date.
+func (s *search) awaitFresh(sub *subscription, results chan<- probeResult) error {
+	timeout := time.NewTimer(updateTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		case err := <-sub.ended:
+			return err
+		case <-timeout.C:
+			if len(sub.received) > 0 {
+				return errStale
+			}
+			return eris.Errorf("controlclient: no update for %s after the subscription", updateTimeout)
+		case update := <-sub.updates:
+			sub.received = append(sub.received, update)
+			if !update.Stale {
+				return nil
+			}
+			if len(sub.received) > 1 {
+				continue
+			}
+			timeout.Reset(stalePatience)
+			s.report(results, probeResult{
+				address:    sub.address,
+				stillStale: true,
+			})
+		}
+	}
+}
+
+// logProbe logs a probe that found no replica that is up to date.
+func (c *Client) logProbe(result probeResult) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.cfg.Log.Info(event.ReplicaUnfit).
+		Str("replica", result.address.String()).
+		Err(result.err).
+		Msg("a control replica cannot be followed")
+}
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -3,358 +3,254 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/roster"
-	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
-// errStale is the error of a subscription to a replica that is not up to date with a leader.
-var errStale = eris.New("controlclient: the control replica is stale: it is not up to date with a leader")
-
-// runSubscriptions keeps the node subscribed to a control replica. When a subscription
-// ends, it subscribes again and starts with the next replica of the list. It leaves a stale
-// replica at once as long as there are others that it has not tried: by the time that a replica
-// counts itself as stale, the bound on how long a configuration takes is half used up.
-func (c *Client) runSubscriptions() {
-	staleInRow := 0
-	for i := 0; c.ctx.Err() == nil; i++ {
-		replicas := c.Replicas()
-		first := i % len(replicas)
-		patience := time.Duration(0)
-		if staleInRow >= len(replicas)-1 {
-			patience = staleSwitchDelay
-		}
-		started := time.Now()
-		address, wasFresh, err := c.subscribe(append(slices.Clone(replicas[first:]), replicas[:first]...), patience)
-		if c.ctx.Err() == nil {
-			c.logLost(address, time.Since(started), wasFresh, err)
-		}
-		switch {
-		case wasFresh:
-			staleInRow = 0
-		case eris.Is(err, errStale):
-			staleInRow++
-		}
-		c.controlReachable.Store(false)
-		select {
-		case <-c.ctx.Done():
-		case <-time.After(retryInterval):
-		}
-	}
-}
-
-// logLost logs the end of a subscription with what tells its causes apart.
-func (c *Client) logLost(address netip.AddrPort, lasted time.Duration, wasFresh bool, err error) {
-	line := c.cfg.Log.Warn(event.ControlLost).
-		Str("replica", address.String()).
-		Int64("lastedMillis", lasted.Milliseconds()).
-		Bool("wasFresh", wasFresh).
-		Err(err)
-	if age := c.Unconfirmed(); age != NeverConfirmed {
-		line = line.Int64("unconfirmedMillis", age.Milliseconds())
-	}
-	line.Msg("subscription ended")
-}
-
-// openResult is the open channel to a replica, or the error if it could not be opened.
-type openResult struct {
+// subscription is an open channel to a replica. A goroutine receives its updates.
+type subscription struct {
 	address netip.AddrPort
 	ch      *wire.Channel
-	err     error
+	updates chan control.Update
+	// received are the updates of the search that found the replica. Only the last one is fresh.
+	received []control.Update
+	// ended receives the error that ended the channel.
+	ended  chan error
+	cancel context.CancelFunc
 }
 
-// openChannel opens a channel to the replica that responds first. It starts the attempts
-// dialStagger apart without waiting for the earlier ones to fail: after a network
-// partition or a restart some replicas do not respond, and their timeouts would add up.
-func (c *Client) openChannel(ctx context.Context, replicas []netip.AddrPort) openResult {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	results := make(chan openResult, len(replicas))
-	for i, address := range replicas {
-		c.wait.Go(func() {
+// openSubscription opens a channel to a replica, until ctx ends, and sends it a probe.
+//
+// An open channel is no sign of life: a connection to a process that was killed counts as open for
+// some time. Only an update is.
+func (c *Client) openSubscription(ctx context.Context, address netip.AddrPort) (*subscription, error) {
+	openCtx, cancelOpen := context.WithTimeout(ctx, attemptTimeout)
+	defer cancelOpen()
+	ch, err := c.cfg.Endpoint.Open(openCtx, address, control.MethodSubscribe)
+	if err != nil {
+		return nil, err
+	}
+	if err := ch.Send(c.heartbeat(true)); err != nil {
+		ch.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := &subscription{
+		address: address,
+		ch:      ch,
+		updates: make(chan control.Update),
+		ended:   make(chan error, 1),
+		cancel:  cancel,
+	}
+	context.AfterFunc(ctx, ch.Close)
+	c.wait.Go(func() {
+		for {
+			update := control.Update{}
+			if err := ch.Receive(&update); err != nil {
+				s.ended <- err
+				return
+			}
 			select {
-			case <-time.After(time.Duration(i) * dialStagger):
+			case s.updates <- update:
 			case <-ctx.Done():
-				results <- openResult{
-					address: address,
-					err:     ctx.Err(),
-				}
+				s.ended <- ctx.Err()
 				return
 			}
-			ch, err := c.cfg.Endpoint.Open(ctx, address, control.MethodSubscribe)
-			results <- openResult{
-				address: address,
-				ch:      ch,
-				err:     err,
-			}
-		})
-	}
-	last := openResult{}
-	for n := range replicas {
-		last = <-results
-		if last.err != nil {
-			continue
 		}
-		cancel()
-		c.wait.Go(func() {
-			for range len(replicas) - n - 1 {
-				if late := <-results; late.err == nil {
-					late.ch.Close()
-				}
-			}
-		})
-		return last
-	}
-	cancel()
-	return last
+	})
+	return s, nil
 }
 
-// subscribe subscribes to the replica that responds first. When the subscription ends, it
-// returns the replica's address, whether the replica was ever fresh, and the error. A replica that
-// is stale is left after patience.
-func (c *Client) subscribe(replicas []netip.AddrPort, patience time.Duration) (address netip.AddrPort, wasFresh bool, err error) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
-	opened := c.openChannel(ctx, replicas)
-	if opened.err != nil {
-		return opened.address, false, opened.err
-	}
-	defer opened.ch.Close()
-	c.followed.Store(&opened.address)
-	heartbeats := sync.WaitGroup{}
-	heartbeats.Go(func() {
-		c.sendHeartbeats(ctx, opened.ch)
-		opened.ch.Close()
-	})
-	defer heartbeats.Wait()
-	defer cancel()
-	wasFresh, err = c.receiveUpdates(opened.address, opened.ch, patience)
-	return opened.address, wasFresh, err
+// close closes the channel. It may be called more than once.
+func (s *subscription) close() {
+	s.cancel()
 }
 
-// sendHeartbeats sends a heartbeat every roster.HeartbeatInterval, and at once when
-// SendHeartbeat requests it.
-func (c *Client) sendHeartbeats(ctx context.Context, ch *wire.Channel) {
-	ticker := time.NewTicker(roster.HeartbeatInterval)
-	defer ticker.Stop()
-	for first := true; ; first = false {
-		report := c.cfg.Report()
-		report.Version = c.View().Version
-		report.Holder = c.Holder()
-		heartbeat := control.Heartbeat{
-			Report:  report,
-			Routing: c.routingVersion(),
-		}
-		if q := c.quarantine.Load(); q != nil {
-			heartbeat.Evidence, heartbeat.Suspended = (*q).TakeEvidence(first, clock.SinceBoot())
-		}
-		if watcher := c.watcher.Load(); watcher != nil {
-			heartbeat.Limits = (*watcher).TakeLimits(first)
-			heartbeat.Origins, heartbeat.Versions = (*watcher).TakeOrigins(first)
-		}
-		if ch.Send(heartbeat) != nil {
-			return
-		}
+// runSubscriptions keeps the node subscribed to a control replica that is up to date.
+func (c *Client) runSubscriptions() {
+	next := c.startSearch(netip.AddrPort{}, nil)
+	for {
 		select {
-		case <-ctx.Done():
+		case <-c.ctx.Done():
+			next.stop()
 			return
-		case <-ticker.C:
-		case <-c.heartbeatRequested:
+		case s := <-next.found:
+			next = c.follow(s)
 		}
 	}
 }
 
-// receiveUpdates processes updates until none has arrived for updateTimeout, or the replica is
-// stale for longer than patience while there are other replicas to try. It reports whether the
-// replica was ever fresh.
-func (c *Client) receiveUpdates(address netip.AddrPort, ch *wire.Channel, patience time.Duration) (wasFresh bool, err error) {
-	known := map[fleet.NodeID]roster.Report{}
-	staleSince := time.Time{}
-	for updates := 0; ; updates++ {
-		update, err := receiveUpdate(ch, updates)
-		if err != nil {
-			return wasFresh, eris.Wrapf(err, "replica %s", address)
-		}
-		switch {
-		case !update.Stale:
-			staleSince = time.Time{}
-			wasFresh = true
-		case staleSince.IsZero():
-			staleSince = time.Now()
-		}
-		c.applyUpdate(address, update, known)
-		if !update.Stale {
-			continue
-		}
-		if time.Since(staleSince) > staleGracePeriod {
-			c.controlReachable.Store(false)
-		}
-		if time.Since(staleSince) >= patience && len(c.Replicas()) > 1 {
-			return wasFresh, eris.Wrapf(errStale, "replica %s", address)
-		}
+// follow processes the updates of a replica. While the replica is stale or silent, it already
+// searches another one, and changes to that as soon as it is found: by the time that a replica counts
+// as stale, the bound on how long a configuration takes is half used up. It returns that search.
+func (c *Client) follow(s *subscription) *search {
+	ctx, cancel := context.WithCancel(c.ctx)
+	heartbeats := sync.WaitGroup{}
+	defer heartbeats.Wait()
+	defer cancel()
+	defer s.close()
+	c.followed.Store(&s.address)
+	heartbeats.Go(func() {
+		c.sendHeartbeats(ctx, s.ch)
+		s.ch.Close()
+	})
+	f := &follower{
+		c:       c,
+		s:       s,
+		started: time.Now(),
+		known:   map[fleet.NodeID]roster.Report{},
 	}
+	for _, update := range s.received {
+		f.apply(update)
+	}
+	return f.run()
 }
 
-// receiveUpdate waits for an update until updateTimeout.
-func receiveUpdate(ch *wire.Channel, received int) (control.Update, error) {
-	timedOut := atomic.Bool{}
-	watchdog := time.AfterFunc(updateTimeout, func() {
-		timedOut.Store(true)
-		ch.Close()
-	})
-	defer watchdog.Stop()
-	update := control.Update{}
-	err := ch.Receive(&update)
-	if err != nil && timedOut.Load() {
-		return update, eris.Errorf("controlclient: no update for %s, after %d updates", updateTimeout, received)
-	}
-	return update, err
+// follower is the state of one subscription while the node follows it.
+type follower struct {
+	c       *Client
+	s       *subscription
+	started time.Time
+	known   map[fleet.NodeID]roster.Report
+	// staleSince is when the replica became stale, zero while it is up to date.
+	staleSince time.Time
+	// next is the search for another replica, nil while this one is up to date.
+	next *search
 }
 
-// applyUpdate applies an update and passes its parts to the handler and the watcher.
-func (c *Client) applyUpdate(address netip.AddrPort, update control.Update, known map[fleet.NodeID]roster.Report) {
-	if !update.Stale && !c.controlReachable.Swap(true) {
-		c.cfg.Log.Info(event.ControlConnected).Str("replica", address.String()).Msg("follows a control replica")
-	}
-	if update.Ended && c.joined.Load() && !c.rejected.Swap(true) {
-		c.cfg.Log.Error(event.HolderRejected).Msg("this incarnation of the node has ended in the ledger; it stops serving requests")
-	}
-	if update.Leader.IsValid() {
-		leader := update.Leader
-		c.leader.Store(&leader)
-	}
-	if update.Delta != nil && c.applyDelta(*update.Delta) {
-		c.storeConfiguration()
-	}
-	// A node that has just started must know the suspended parts and the limits before it serves
-	// requests.
-	if update.Quarantine != nil {
-		c.quarantineList.Store(update.Quarantine)
-		c.applyQuarantine(update.Quarantine)
-	}
-	if update.Limits != nil {
-		c.limits.Store(update.Limits)
-		if watcher := c.watcher.Load(); watcher != nil {
-			(*watcher).HandleLimits(*update.Limits)
+// run processes updates until the subscription ends or another replica has been found.
+func (f *follower) run() *search {
+	silence := time.NewTimer(searchDelay)
+	defer silence.Stop()
+	silent := false
+	for {
+		select {
+		case <-f.c.ctx.Done():
+			f.search()
+			return f.next
+		case update := <-f.s.updates:
+			silent = false
+			silence.Reset(searchDelay)
+			f.apply(update)
+		case err := <-f.s.ended:
+			return f.end(eris.Wrapf(err, "replica %s", f.s.address))
+		case <-silence.C:
+			if silent {
+				return f.end(eris.Errorf("controlclient: replica %s: no update for %s", f.s.address, updateTimeout))
+			}
+			silent = true
+			silence.Reset(updateTimeout - searchDelay)
+			f.search()
+		case found := <-f.found():
+			f.c.logLost(f.s.address, f.started, eris.Wrapf(errReplaced, "replica %s", f.s.address))
+			f.next.found <- found
+			return f.next
 		}
 	}
-	c.applyRouting(update)
+}
+
+// apply applies an update and searches another replica while this one is stale.
+func (f *follower) apply(update control.Update) {
+	f.c.applyUpdate(f.s.address, update, f.known)
 	if !update.Stale {
-		c.confirm(clock.SinceBoot())
-	}
-	if len(update.Roster) > 0 {
-		c.applyRoster(update.Roster, known)
-	}
-	handler := c.handler.Load()
-	if handler == nil {
+		f.staleSince = time.Time{}
+		if f.next != nil {
+			f.next.discard()
+			f.next = nil
+		}
 		return
 	}
-	if len(update.Recalls) > 0 {
-		(*handler).HandleRecalls(update.Recalls)
+	if f.staleSince.IsZero() {
+		f.staleSince = time.Now()
 	}
-	if len(update.EndedHolders) > 0 {
-		(*handler).HandleEndedHolders(update.EndedHolders)
+	if time.Since(f.staleSince) > staleGracePeriod {
+		f.c.controlReachable.Store(false)
 	}
+	f.search()
 }
 
-func (c *Client) routingVersion() routing.Version {
-	if view := c.routing.Load(); view != nil {
-		return view.Config.Version
+// search starts a search for another replica unless one is under way.
+func (f *follower) search() {
+	if f.next == nil {
+		f.next = f.c.startSearch(f.s.address, f.s)
 	}
-	return 0
 }
 
-// applyRouting starts to use a newer routing configuration and passes it and a list of
-// instances to the watcher.
-func (c *Client) applyRouting(update control.Update) {
-	watcher := c.watcher.Load()
-	if update.Routing != nil && update.Routing.Version > c.routingVersion() {
-		view := routing.NewView(*update.Routing)
-		c.routing.Store(view)
-		line := c.cfg.Log.Info(event.RoutingInForce)
-		if age := c.Unconfirmed(); age != NeverConfirmed {
-			line = line.Int64("unconfirmedMillis", age.Milliseconds())
-		}
-		line.Uint64("version", uint64(update.Routing.Version)).
-			Int("routes", len(update.Routing.Routes)).
-			Int("workspaces", len(update.Routing.Workspaces)).
-			Msg("configuration of routed requests in force")
-		if watcher != nil {
-			(*watcher).HandleRouting(view)
-		}
-		c.SendHeartbeat()
-	}
-	if update.Instances != nil && watcher != nil {
-		(*watcher).HandleInstances(*update.Instances)
+// found returns the channel of the search, nil if there is none.
+func (f *follower) found() chan *subscription {
+	if f.next == nil {
+		return nil
 	}
+	return f.next.found
 }
 
-// storeConfiguration stores the current configuration and sends a heartbeat, which reports
-// its version.
-func (c *Client) storeConfiguration() {
-	view := c.View()
-	if c.cfg.Store != nil {
-		configuration := catalog.Delta{
-			To:      view.Version,
-			Objects: view.Objects(),
-		}
-		if err := c.cfg.Store.Save(configuration); err != nil {
-			c.cfg.Log.Error(event.NodeFailed).Err(err).Msg("cannot store the configuration; a restart would load an older one")
-		}
+// end logs the end of the subscription and returns the search for the next replica.
+func (f *follower) end(err error) *search {
+	if f.c.ctx.Err() == nil {
+		f.c.logLost(f.s.address, f.started, err)
 	}
-	c.cfg.Log.Info(event.ConfigInForce).Uint64("version", uint64(view.Version)).Msg("configuration in force")
-	c.SendHeartbeat()
+	f.c.controlReachable.Store(false)
+	f.search()
+	f.next.include()
+	return f.next
 }
 
-// applyRoster merges changed rows into the known reports.
-func (c *Client) applyRoster(rows []roster.Report, known map[fleet.NodeID]roster.Report) {
-	for _, row := range rows {
-		known[row.Holder.Node] = row
+// logLost logs the end of a subscription with what tells its causes apart.
+func (c *Client) logLost(address netip.AddrPort, started time.Time, err error) {
+	line := c.cfg.Log.Warn(event.ControlLost).
+		Str("replica", address.String()).
+		Int64("lastedMillis", time.Since(started).Milliseconds()).
+		Err(err)
+	if age := c.Unconfirmed(); age != NeverConfirmed {
+		line = line.Int64("unconfirmedMillis", age.Milliseconds())
 	}
-	reports := make([]roster.Report, 0, len(known))
-	for _, row := range known {
-		reports = append(reports, row)
+	line.Msg("subscription ended")
+}
+
+// heartbeat returns a heartbeat without what is sent only to the replica that the node follows.
+func (c *Client) heartbeat(probe bool) control.Heartbeat {
+	report := c.cfg.Report()
+	report.Version = c.View().Version
+	report.Holder = c.Holder()
+	return control.Heartbeat{
+		Report:  report,
+		Routing: c.routingVersion(),
+		Probe:   probe,
+		Sent:    int64(clock.SinceBoot()),
 	}
-	slices.SortFunc(reports, func(a, b roster.Report) int {
-		if a.Holder.Node < b.Holder.Node {
-			return -1
-		}
-		return 1
-	})
-	c.reports.Store(&reports)
-	c.updateEntryNodes(reports)
 }
 
-// updateEntryNodes notifies the watcher when the number of entry nodes that are not dead,
-// or the set of those that are up, has changed.
-func (c *Client) updateEntryNodes(reports []roster.Report) {
-	n := int64(0)
-	var up []fleet.NodeID
-	for _, report := range reports {
-		if !report.CallerAddress.IsValid() || report.State == roster.StateDead {
-			continue
+// sendHeartbeats sends a heartbeat every roster.HeartbeatInterval, and at once when
+// SendHeartbeat requests it.
+func (c *Client) sendHeartbeats(ctx context.Context, ch *wire.Channel) {
+	ticker := time.NewTicker(roster.HeartbeatInterval)
+	defer ticker.Stop()
+	for first := true; ; first = false {
+		heartbeat := c.heartbeat(false)
+		if q := c.quarantine.Load(); q != nil {
+			heartbeat.Evidence, heartbeat.Suspended = (*q).TakeEvidence(first, clock.SinceBoot())
 		}
-		n++
-		if report.State == roster.StateUp {
-			up = append(up, report.Holder.Node)
+		if watcher := c.watcher.Load(); watcher != nil {
+			heartbeat.Limits = (*watcher).TakeLimits(first)
+			heartbeat.Origins, heartbeat.Versions = (*watcher).TakeOrigins(first)
+		}
+		if ch.Send(heartbeat) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.heartbeatRequested:
 		}
-	}
-	if c.entryNodeCount.Swap(n) == n && slices.Equal(c.upNodes, up) {
-		return
-	}
-	c.upNodes = up
-	if watcher := c.watcher.Load(); watcher != nil {
-		(*watcher).HandleEntryNodes(int(n))
 	}
 }
--- a/controlclient/subscribe_test.go
+++ b/controlclient/subscribe_test.go
@@ -68,8 +68,8 @@
 	for !c.ControlReachable() && time.Since(started) < 10*time.Second {
 		time.Sleep(10 * time.Millisecond)
 	}
-	if took := time.Since(started); !c.ControlReachable() || took >= staleSwitchDelay {
-		t.Errorf("got the fresh replica after %s, want it before %s", took, staleSwitchDelay)
+	if took := time.Since(started); !c.ControlReachable() || took >= stalePatience {
+		t.Errorf("got the fresh replica after %s, want it before %s", took, stalePatience)
 	}
 	if got, want := c.routingVersion(), routing.Version(7); got != want {
 		t.Errorf("got configuration %d, want %d", got, want)
--- /dev/null
+++ b/controlclient/updates.go
@@ -0,0 +1,151 @@
+package controlclient
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/waxwingreel/waxwingreel/catalog"
+	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/roster"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// applyUpdate applies an update and passes its parts to the handler and the watcher.
+func (c *Client) applyUpdate(address netip.AddrPort, update control.Update, known map[fleet.NodeID]roster.Report) {
+	if !update.Stale && !c.controlReachable.Swap(true) {
+		c.cfg.Log.Info(event.ControlConnected).Str("replica", address.String()).Msg("follows a control replica")
+	}
+	if update.Ended && c.joined.Load() && !c.rejected.Swap(true) {
+		c.cfg.Log.Error(event.HolderRejected).Msg("this incarnation of the node has ended in the ledger; it stops serving requests")
+	}
+	if update.Leader.IsValid() {
+		leader := update.Leader
+		c.leader.Store(&leader)
+	}
+	if update.Delta != nil && c.applyDelta(*update.Delta) {
+		c.storeConfiguration()
+	}
+	// A node that has just started must know the suspended parts and the limits before it serves
+	// requests.
+	if update.Quarantine != nil {
+		c.quarantineList.Store(update.Quarantine)
+		c.applyQuarantine(update.Quarantine)
+	}
+	if update.Limits != nil {
+		c.limits.Store(update.Limits)
+		if watcher := c.watcher.Load(); watcher != nil {
+			(*watcher).HandleLimits(*update.Limits)
+		}
+	}
+	c.applyRouting(update)
+	if !update.Stale {
+		c.confirm(freshAt(update, clock.SinceBoot()))
+	}
+	if len(update.Roster) > 0 {
+		c.applyRoster(update.Roster, known)
+	}
+	handler := c.handler.Load()
+	if handler == nil {
+		return
+	}
+	if len(update.Recalls) > 0 {
+		(*handler).HandleRecalls(update.Recalls)
+	}
+	if len(update.EndedHolders) > 0 {
+		(*handler).HandleEndedHolders(update.EndedHolders)
+	}
+}
+
+func (c *Client) routingVersion() routing.Version {
+	if view := c.routing.Load(); view != nil {
+		return view.Config.Version
+	}
+	return 0
+}
+
+// applyRouting starts to use a newer routing configuration and passes it and a list of
+// instances to the watcher.
+func (c *Client) applyRouting(update control.Update) {
+	watcher := c.watcher.Load()
+	if update.Routing != nil && update.Routing.Version > c.routingVersion() {
+		view := routing.NewView(*update.Routing)
+		c.routing.Store(view)
+		line := c.cfg.Log.Info(event.RoutingInForce)
+		if age := c.Unconfirmed(); age != NeverConfirmed {
+			line = line.Int64("unconfirmedMillis", age.Milliseconds())
+		}
+		line.Uint64("version", uint64(update.Routing.Version)).
+			Int("routes", len(update.Routing.Routes)).
+			Int("workspaces", len(update.Routing.Workspaces)).
+			Msg("configuration of routed requests in force")
+		if watcher != nil {
+			(*watcher).HandleRouting(view)
+		}
+		c.SendHeartbeat()
+	}
+	if update.Instances != nil && watcher != nil {
+		(*watcher).HandleInstances(*update.Instances)
+	}
+}
+
+// storeConfiguration stores the current configuration and sends a heartbeat, which reports
+// its version.
+func (c *Client) storeConfiguration() {
+	view := c.View()
+	if c.cfg.Store != nil {
+		configuration := catalog.Delta{
+			To:      view.Version,
+			Objects: view.Objects(),
+		}
+		if err := c.cfg.Store.Save(configuration); err != nil {
+			c.cfg.Log.Error(event.NodeFailed).Err(err).Msg("cannot store the configuration; a restart would load an older one")
+		}
+	}
+	c.cfg.Log.Info(event.ConfigInForce).Uint64("version", uint64(view.Version)).Msg("configuration in force")
+	c.SendHeartbeat()
+}
+
+// applyRoster merges changed rows into the known reports.
+func (c *Client) applyRoster(rows []roster.Report, known map[fleet.NodeID]roster.Report) {
+	for _, row := range rows {
+		known[row.Holder.Node] = row
+	}
+	reports := make([]roster.Report, 0, len(known))
+	for _, row := range known {
+		reports = append(reports, row)
+	}
+	slices.SortFunc(reports, func(a, b roster.Report) int {
+		if a.Holder.Node < b.Holder.Node {
+			return -1
+		}
+		return 1
+	})
+	c.reports.Store(&reports)
+	c.updateEntryNodes(reports)
+}
+
+// updateEntryNodes notifies the watcher when the number of entry nodes that are not dead,
+// or the set of those that are up, has changed.
+func (c *Client) updateEntryNodes(reports []roster.Report) {
+	n := int64(0)
+	var up []fleet.NodeID
+	for _, report := range reports {
+		if !report.CallerAddress.IsValid() || report.State == roster.StateDead {
+			continue
+		}
+		n++
+		if report.State == roster.StateUp {
+			up = append(up, report.Holder.Node)
+		}
+	}
+	if c.entryNodeCount.Swap(n) == n && slices.Equal(c.upNodes, up) {
+		return
+	}
+	c.upNodes = up
+	if watcher := c.watcher.Load(); watcher != nil {
+		(*watcher).HandleEntryNodes(int(n))
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -58,6 +58,7 @@
 	QuotaLent        ID = 311
 	PeerLost         ID = 312
 	QuotaLost        ID = 313
+	ReplicaUnfit     ID = 314
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
