Nodes deny a route or a key only by a configuration that is known to be the newest

Callers saw 404 for routes that existed. A node said 404 and 401 by whatever configuration it had, however long it was out of touch with the control group. What it knows is served on.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -198,6 +198,9 @@
 		return fmt.Sprintf("its key is in no workspace of configuration %v", end.Fields["version"])
 	case gateway.CauseNoRoute:
 		return fmt.Sprintf("no route of configuration %v matches its host and path", end.Fields["version"])
+	case gateway.CauseUnconfirmed:
+		return fmt.Sprintf("configuration %v does not have its route or key, but had not been confirmed to be the newest for %v ms: the node was out of touch with the control group; it has not run",
+			end.Fields["version"], end.Fields["unconfirmedMillis"])
 	case gateway.CauseCallerDisconnected:
 		return "its caller disconnected before the response was complete"
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,16 +33,19 @@
 
 // exchange is the state of one routed request, from its arrival to its end.
 type exchange struct {
-	s         *Server
-	w         http.ResponseWriter
-	r         *http.Request
-	ctx       context.Context
-	view      *routing.View
-	request   routing.Request
-	route     *routing.Route
-	service   *routing.Service
-	workspace *routing.Workspace
-	body      []byte
+	s    *Server
+	w    http.ResponseWriter
+	r    *http.Request
+	ctx  context.Context
+	view *routing.View
+	// unconfirmed is for how long, at the request's arrival, the view had not been confirmed to be
+	// the newest.
+	unconfirmed time.Duration
+	request     routing.Request
+	route       *routing.Route
+	service     *routing.Service
+	workspace   *routing.Workspace
+	body        []byte
 	// identity is what the request has in common with its repetitions, empty until the body is
 	// known.
 	identity routing.PartID
@@ -162,14 +165,14 @@
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	x.route = x.view.Match(x.r.Host, path)
 	if x.route == nil {
-		x.reject(http.StatusNotFound, CauseNoRoute)
+		x.deny(http.StatusNotFound, CauseNoRoute)
 		return false
 	}
 	if request.Key != "" {
 		x.workspace = x.view.Workspace(request.Key)
 	}
 	if x.workspace == nil && x.view.KeysNeeded() && !x.route.Public {
-		x.reject(http.StatusUnauthorized, CauseUnknownKey)
+		x.deny(http.StatusUnauthorized, CauseUnknownKey)
 		return false
 	}
 	x.service = x.view.Service(x.route.Choose(request.ID))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -371,13 +371,16 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	// Read before the view: a configuration that comes in between must not confirm the one before.
+	unconfirmed := s.cfg.Control.Unconfirmed()
 	x := &exchange{
-		s:       s,
-		w:       w,
-		r:       r,
-		view:    s.view.Load(),
-		buffers: allocation{budget: s.buffers},
-		arrived: clock.SinceBoot(),
+		s:           s,
+		w:           w,
+		r:           r,
+		unconfirmed: unconfirmed,
+		view:        s.view.Load(),
+		buffers:     allocation{budget: s.buffers},
+		arrived:     clock.SinceBoot(),
 
 		lastOnConnection: isLastRequest(r),
 	}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -9,6 +9,7 @@
 
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/placement"
@@ -24,10 +25,13 @@
 	CauseNoConfiguration Cause = "noConfiguration"
 	// CauseNodeBusy means that this node has as many requests in flight as its memory
 	// allows.
-	CauseNodeBusy       Cause = "nodeBusy"
-	CauseMalformed      Cause = "malformed"
-	CauseNoRoute        Cause = "noRoute"
-	CauseUnknownKey     Cause = "unknownKey"
+	CauseNodeBusy   Cause = "nodeBusy"
+	CauseMalformed  Cause = "malformed"
+	CauseNoRoute    Cause = "noRoute"
+	CauseUnknownKey Cause = "unknownKey"
+	// CauseUnconfirmed means that the configuration has no such route or key, but a newer one may
+	// have it.
+	CauseUnconfirmed    Cause = "unconfirmed"
 	CauseBodyTooLarge   Cause = "bodyTooLarge"
 	CauseHeaderTooLarge Cause = "headerTooLarge"
 	// CauseBodyTruncated means that the caller did not send the whole body.
@@ -110,7 +114,12 @@
 	case CauseNoQuota, CauseNodeBusy:
 		base = retryDelayOtherNode
 	}
-	return base + time.Duration(rand.Float64()*retryJitter*float64(base))
+	return jitter(base)
+}
+
+// jitter adds a random part to a delay.
+func jitter(delay time.Duration) time.Duration {
+	return delay + time.Duration(rand.Float64()*retryJitter*float64(delay))
 }
 
 // retryAfterPartitioned returns the retry delay of a node that is partitioned from the control
@@ -131,6 +140,9 @@
 	if cause == CausePartSuspended || cause == CauseRequestSuspended {
 		after = x.retryAfterSuspension()
 	}
+	if cause == CauseUnconfirmed {
+		after = jitter(control.UnconfirmedRetryDelay(x.unconfirmed))
+	}
 	if x.instancesFullFor > 0 {
 		// Callers that return together would only be refused together.
 		after = x.instancesFullFor + time.Duration(rand.Float64()*retryJitter*float64(retryDelayBusy))
@@ -139,6 +151,16 @@
 	x.reject(http.StatusServiceUnavailable, cause)
 }
 
+// deny rejects a request for what the configuration does not have, or refuses it if the configuration
+// may not be the newest.
+func (x *exchange) deny(status int, cause Cause) {
+	if x.unconfirmed > control.ConfigurationBound {
+		x.refuse(CauseUnconfirmed)
+		return
+	}
+	x.reject(status, cause)
+}
+
 // reject responds with an error status and the cause as JSON.
 func (x *exchange) reject(status int, cause Cause) {
 	x.status = status
@@ -294,7 +316,7 @@
 		Int64("costTokens", int64(x.request.MaxCost())).
 		Bool("mayHaveRun", x.mayHaveRun).
 		Bool("controlFresh", x.s.cfg.Control.ControlReachable()).
-		Int64("unconfirmedMillis", x.s.cfg.Control.Unconfirmed().Milliseconds()).
+		Int64("unconfirmedMillis", x.unconfirmed.Milliseconds()).
 		Int64("tookMillis", duration.Milliseconds()).
 		Int64("leftMillis", (x.deadline-clock.SinceBoot()).Milliseconds()).
 		AnErr("error", err).
