--- a/entry/chat.go
+++ b/entry/chat.go
@@ -88,7 +88,7 @@
 	}
 	model, _, ok := r.server.cfg.Control.View().Model(r.chat.Model)
 	if !ok {
-		return notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("unknown model %q", r.chat.Model))
+		return r.deny(notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("unknown model %q", r.chat.Model)))
 	}
 	r.model = model
 	r.stream = r.chat.Stream
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,9 @@
 	View() *catalog.View
 	Roster() []roster.Report
 	ControlReachable() bool
+	// Unconfirmed returns the time since the latest moment for which the configuration is known to
+	// have been the newest.
+	Unconfirmed() time.Duration
 	Rejected() bool
 }
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingreel/waxwingreel/burn"
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
 	"github.com/waxwingreel/waxwingreel/placement"
@@ -33,6 +34,9 @@
 	body         []byte
 	class        fleet.Class
 	arrived      time.Duration
+	// unconfirmed is for how long, at the request's arrival, the configuration had not been confirmed
+	// to be the newest.
+	unconfirmed time.Duration
 	// crashes counts the backend servers that crashed on the request before they responded.
 	crashes int
 	// identityHash is set by identity.
@@ -82,6 +86,8 @@
 		c:       c,
 		ctx:     c.Request().Context(),
 		arrived: clock.SinceBoot(),
+		// Read before the view: a configuration that comes in between must not confirm the one before.
+		unconfirmed: s.cfg.Control.Unconfirmed(),
 	}
 	if refusal := x.parseRequestID(); refusal != nil {
 		return x, refusal
@@ -96,11 +102,24 @@
 	}
 	x.access, ok = s.cfg.Control.View().Access(key)
 	if !ok {
-		return x, notRun(http.StatusUnauthorized, TypeUnauthorized, "unknown key")
+		return x, x.deny(notRun(http.StatusUnauthorized, TypeUnauthorized, "unknown key"))
 	}
 	return x, x.readBody()
 }
 
+// deny returns a refusal for what the configuration does not have, or another one if the configuration
+// may not be the newest.
+func (x *exchange) deny(refusal *Refusal) *Refusal {
+	if x.unconfirmed <= control.ConfigurationBound {
+		return refusal
+	}
+	message := refusal.Message + " in this node's configuration, and the node cannot tell whether that is the newest"
+	return notRun(http.StatusServiceUnavailable, TypeControlUnreachable, message).
+		withHint("use GET /v1/entries to find another node").
+		withRetry(control.UnconfirmedRetryDelay(x.unconfirmed)).
+		withCause(burn.CauseControlUnreachable)
+}
+
 func (x *exchange) parseRequestID() *Refusal {
 	text := x.c.Request().Header.Get(headerIDKey)
 	if text == "" {
--- a/entry/repeated_test.go
+++ b/entry/repeated_test.go
@@ -39,8 +39,10 @@
 type localControl struct {
 	view   *catalog.View
 	holder fleet.Holder
-	mu     sync.Mutex
-	ledger *ledger.State
+	// unconfirmed is set before the first request.
+	unconfirmed time.Duration
+	mu          sync.Mutex
+	ledger      *ledger.State
 }
 
 // Submit implements entry.ControlClient.
@@ -68,10 +70,11 @@
 	return result, nil
 }
 
-func (c *localControl) View() *catalog.View     { return c.view }
-func (c *localControl) Roster() []roster.Report { return nil }
-func (c *localControl) ControlReachable() bool  { return true }
-func (c *localControl) Rejected() bool          { return false }
+func (c *localControl) View() *catalog.View        { return c.view }
+func (c *localControl) Roster() []roster.Report    { return nil }
+func (c *localControl) ControlReachable() bool     { return true }
+func (c *localControl) Unconfirmed() time.Duration { return c.unconfirmed }
+func (c *localControl) Rejected() bool             { return false }
 
 // newView returns a configuration with two engines and two servers of a plain service.
 func newView(t *testing.T, engines, services []*standin.Crashing) *catalog.View {
@@ -145,6 +148,13 @@
 
 // startEntry returns an entry node before the given servers.
 func startEntry(t *testing.T, engines, services []*standin.Crashing) string {
+	t.Helper()
+	_, url := startEntryWith(t, engines, services)
+	return url
+}
+
+// startEntryWith is like startEntry and returns the node's connection to the control group too.
+func startEntryWith(t *testing.T, engines, services []*standin.Crashing) (*localControl, string) {
 	t.Helper()
 	c := &localControl{
 		view: newView(t, engines, services),
@@ -193,7 +203,7 @@
 		defer cancel()
 		_ = s.Close(ctx)
 	})
-	return server.URL
+	return c, server.URL
 }
 
 func newCrashing(t *testing.T, servers int, handler func() http.Handler) []*standin.Crashing {
--- a/entry/service.go
+++ b/entry/service.go
@@ -76,7 +76,7 @@
 	id := fleet.ServiceID(r.c.Param("service"))
 	service, ok := r.server.cfg.Control.View().Service(id)
 	if !ok {
-		return notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("unknown service %q", id))
+		return r.deny(notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("unknown service %q", id)))
 	}
 	r.service = service
 	r.path = "/" + strings.TrimPrefix(strings.TrimPrefix(request.URL.Path, "/v1/services/"+string(id)), "/")
@@ -92,7 +92,7 @@
 			return r.checkCall()
 		}
 	}
-	return notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("service %q has no call %s %s", id, request.Method, r.path))
+	return r.deny(notRun(http.StatusNotFound, TypeNotFound, fmt.Sprintf("service %q has no call %s %s", id, request.Method, r.path)))
 }
 
 func (r *serviceExchange) checkCall() *Refusal {
