Replicas pass on only streams that they did not know

The first heartbeat of each subscription repeats the latest streams of a node; the replica passed all of them on to all others, and each repetition took a place among the 65,536 that it remembers. 10 equal heartbeats with 100 streams: 900 passed on again before, none after (TestRepeatedStreamsAreNotPassedOn).

--- a/control/origins.go
+++ b/control/origins.go
@@ -37,11 +37,17 @@
 	})
 }
 
-func (r *Replica) applyOrigins(records []origin.Record) {
+// applyOrigins stores records and returns those that were news. Nodes repeat what they know to each
+// replica that they follow.
+func (r *Replica) applyOrigins(records []origin.Record) []origin.Record {
 	now := clock.SinceBoot()
+	var news []origin.Record
 	for _, record := range records {
-		r.origins.Add(record, now)
+		if r.origins.Add(record, now) {
+			news = append(news, record)
+		}
 	}
+	return news
 }
 
 // passOnOrigins sends the streams that entry nodes have reported since the last time to the other
--- a/control/origins_test.go
+++ b/control/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,29 @@
 	configure(t, vms, 1)
 	return replicas
 }
+
+// TestRepeatedStreamsAreNotPassedOn repeats heartbeats, as nodes do to each replica that they turn to
+// while the control group is in trouble. Guards against replicas that pass on what all know.
+func TestRepeatedStreamsAreNotPassedOn(t *testing.T) {
+	r := newOriginReplicas(t)[0]
+	heartbeat := Heartbeat{Report: roster.Report{Holder: fleet.Holder{Node: "entry"}}}
+	for i := range 100 {
+		heartbeat.Origins = append(heartbeat.Origins, origin.Record{
+			Key: origin.Key{
+				Caller:  "w",
+				Request: routing.RequestID(fmt.Sprint(i)),
+			},
+			Origin:    routing.Origin{Software: "v1"},
+			TTLMillis: time.Minute.Milliseconds(),
+		})
+	}
+	passedOn := 0
+	for range 10 {
+		r.do(func() { r.newOrigins = nil })
+		r.handleHeartbeat(&subscriber{}, heartbeat)
+		r.do(func() { passedOn += len(r.newOrigins) })
+	}
+	if got, want := passedOn, len(heartbeat.Origins); got > want {
+		t.Errorf("got %d streams to pass on after 10 equal heartbeats, want %d at the most", got, want)
+	}
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -254,8 +254,7 @@
 			r.applyLimits(heartbeat.Limits)
 			r.passOnLimits(heartbeat.Limits)
 		}
-		r.applyOrigins(heartbeat.Origins)
-		r.newOrigins = append(r.newOrigins, heartbeat.Origins...)
+		r.newOrigins = append(r.newOrigins, r.applyOrigins(heartbeat.Origins)...)
 		if heartbeat.Versions != nil {
 			r.versions.Merge(*heartbeat.Versions, now)
 		}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -73,20 +73,29 @@
 	expires   time.Duration
 }
 
-// Add stores a record or prolongs the one that is known.
-func (t *Table) Add(r Record, now time.Duration) {
+// minProlonged is the least time by which a repeated record must outlive the known one to count as
+// news. Its time to live is counted from its arrival, so each repetition outlives it a little.
+const minProlonged = time.Second
+
+// Add stores a record or prolongs the one that is known. It reports whether the record was news.
+func (t *Table) Add(r Record, now time.Duration) bool {
 	if t.rows == nil {
 		t.rows = map[Key]row{}
 	}
 	known, ok := t.rows[r.Key]
 	ok = ok && known.expires > now
-	t.rows[r.Key] = row{
+	next := row{
 		origin:    r.Origin,
 		ambiguous: r.Ambiguous || ok && (known.ambiguous || !known.origin.SameAs(r.Origin)),
 		expires:   max(known.expires, now+time.Duration(r.TTLMillis)*time.Millisecond),
 	}
+	if ok && next.ambiguous == known.ambiguous && next.expires < known.expires+minProlonged {
+		return false
+	}
+	t.rows[r.Key] = next
 	t.added = append(t.added, r.Key)
 	t.forget(now)
+	return true
 }
 
 // forget removes the records that have expired, and the oldest above maxRecords.
