One odd entry of the instance list harms no others, and none is taken that can't be right

Another writer's entry that was nested too deeply, or was no JSON, made the page unreadable, so that the list stopped being followed; slots of 0 or 2 billion, port 0, addresses of no host, a time of start of 1e30 (whose conversion differs between machines) and line breaks in an id, which goes into each request's header, were taken. A list from the future is not taken: it would have kept all later ones out. Event 315 counts what is skipped.

--- a/control/instances.go
+++ b/control/instances.go
@@ -45,8 +45,10 @@
 	})
 }
 
-// applyInstances stores an instance list read by this node or by another one.
+// applyInstances stores an instance list read by this node or by another one, whose version may pass on
+// entries that no server can have.
 func (r *Replica) applyInstances(list InstanceList) {
+	list.Instances, _ = routing.SoundInstances(list.Instances)
 	r.instancesNumber++
 	if r.instancesNumber == 1 || !slices.Equal(r.instances.Instances, list.Instances) {
 		r.instancesChanged = r.instancesNumber
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -62,8 +62,10 @@
 // Reader reads the list whenever it is due.
 type Reader struct {
 	cfg Config
-	// readable is whether the last read succeeded.
+	// readable is whether the last read succeeded, skipped the number of entries of the last list
+	// that name no server.
 	readable bool
+	skipped  int
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 }
@@ -110,6 +112,10 @@
 		r.cfg.Log.Info(event.ListReadable).Int("instances", len(instances)).Int("unreadable", unreadable).Msg("list of instances can be read again")
 	}
 	r.readable = err == nil
+	if err == nil && unreadable != r.skipped {
+		r.skipped = unreadable
+		r.cfg.Log.Warn(event.EntriesSkipped).Int("skipped", unreadable).Int("instances", len(instances)).Msg("entries of the list of instances name no server that can exist; the others are used")
+	}
 	if err == nil {
 		r.cfg.Deliver(instances)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -18,8 +18,8 @@
 // The meaning of some names is not obvious: NodeCut is a planned stop that aborted requests
 // or could not return leases, LifeJoined the join of a node's new incarnation, InstanceGone
 // the removal of an instance from the list, PeerLost a failed call to another entry node or
-// an invalid message from it, and QuotaLost unused quota that could not be returned and
-// counts as spent.
+// an invalid message from it, QuotaLost unused quota that could not be returned and
+// counts as spent, and ReplicaUnfit the answer of a control replica that cannot be followed.
 const (
 	NodeStarted        ID = 101
 	NodeStopping       ID = 102
@@ -59,6 +59,7 @@
 	PeerLost         ID = 312
 	QuotaLost        ID = 313
 	ReplicaUnfit     ID = 314
+	EntriesSkipped   ID = 315
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -280,6 +280,8 @@
 	defer s.listMu.Unlock()
 	if list.Unchanged {
 		list.Instances = s.pushedInstances
+	} else {
+		list.Instances, _ = routing.SoundInstances(list.Instances)
 	}
 	s.pushedInstances = list.Instances
 	s.applyList(list)
@@ -297,11 +299,13 @@
 
 // applyList applies a list unless a newer one is in use. The caller holds listMu.
 func (s *Server) applyList(list control.InstanceList) {
-	age := time.Duration(list.AgeMillis) * time.Millisecond
-	readAt := clock.SinceBoot() - age
 	// A list from long ago, which a restarted node may get from a replica that lags, has
-	// instances that left since.
-	if readAt < s.listReadAt || age > maxPassedAge {
+	// instances that left since. One from the future would keep all later ones out.
+	if list.AgeMillis < 0 || list.AgeMillis > maxPassedAge.Milliseconds() {
+		return
+	}
+	readAt := clock.SinceBoot() - time.Duration(list.AgeMillis)*time.Millisecond
+	if readAt < s.listReadAt {
 		return
 	}
 	s.listReadAt = readAt
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -122,6 +122,8 @@
 	}
 	if response.Same {
 		response.Instances = held
+	} else {
+		response.Instances, _ = routing.SoundInstances(response.Instances)
 	}
 	s.listMu.Lock()
 	defer s.listMu.Unlock()
