A refusal without a request id counts only on a connection that had no other request

A server that writes an earlier refusal once more, on a kept connection, before it runs the next request: its caller was told 'not run' (503), or the request ran at a second server as well. Through the gateway refused connections were closed, but not where a VM relays for another one. Such a refusal leaves the request in doubt now, and no connection is kept after a refusal, whoever sent the request.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -145,8 +145,8 @@
 	// AtMostOnce is set if the request must not be sent again when its outcome is
 	// unknown.
 	AtMostOnce bool
-	// Matches reports whether a response belongs to this request.
-	Matches func(status int, header http.Header) bool
+	// Match compares a response with this request.
+	Match Matcher
 	// Revoked reports whether the request must no longer be sent to the instance. It is called
 	// after a connection was opened, which can take as long as an instance needs to leave. It
 	// may be nil.
@@ -198,7 +198,7 @@
 		return nil, &SendError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
-	in, closes, err := conn.exchange(out)
+	in, reusable, err := conn.exchange(out)
 	if err != nil {
 		stop()
 		_ = conn.conn.Close()
@@ -211,8 +211,7 @@
 		}
 	}
 	in.End = func(complete bool) {
-		reusable := complete && !closes && in.Framing != FramingConnection
-		if !stop() || !reusable || conn.reader.Buffered() > 0 {
+		if !stop() || !complete || !reusable || conn.reader.Buffered() > 0 {
 			_ = conn.conn.Close()
 			return
 		}
@@ -322,24 +321,33 @@
 }
 
 // exchange writes the request and reads the header of the matching response. It returns whether the
-// server closes the connection after it.
-func (c *Conn) exchange(out Outgoing) (in *Incoming, closes bool, err error) {
+// connection can be used again once the body has been read.
+//
+// A refusal says that the request has not run, so it must not be another one's. A server may write an
+// earlier refusal once more: one without an id counts only as the first response on a connection, and
+// no connection is used again after a refusal.
+func (c *Conn) exchange(out Outgoing) (in *Incoming, reusable bool, err error) {
 	if err := c.write(out); err != nil {
 		return nil, false, eris.Wrap(err, "send the request")
 	}
-	for range maxStaleResponses + 1 {
+	for skipped := range maxStaleResponses + 1 {
 		response, err := c.readHeader(out.Method)
 		if err != nil {
 			return nil, false, eris.Wrap(err, "await the answer")
 		}
-		if out.Matches(response.StatusCode, response.Header) {
-			return &Incoming{
+		match := out.Match(response.StatusCode, response.Header)
+		if match == MatchUnnamedRefusal && (c.reused || skipped > 0) {
+			return nil, false, eris.New("received a refusal that does not say of which request, on a connection that had others")
+		}
+		if match != MatchOther {
+			in := &Incoming{
 				Status:  response.StatusCode,
 				Header:  response.Header,
 				Body:    response.Body,
 				Length:  response.ContentLength,
 				Framing: framingOf(response),
-			}, response.Close, nil
+			}
+			return in, match == MatchOwn && !response.Close && in.Framing != FramingConnection, nil
 		}
 		// This is the response to an earlier request. The one to this request may
 		// follow it.
--- a/backend/conns_test.go
+++ b/backend/conns_test.go
@@ -67,7 +67,7 @@
 		Host:       "h.example",
 		Header:     http.Header{},
 		AtMostOnce: atMostOnce,
-		Matches:    func(int, http.Header) bool { return true },
+		Match:      func(int, http.Header) Match { return MatchOwn },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -219,7 +219,12 @@
 	for _, id := range []string{"1", "2", "3", "4"} {
 		out := outgoing(to)
 		out.Header.Set("Id", id)
-		out.Matches = func(_ int, h http.Header) bool { return h.Get("Id") == id }
+		out.Match = func(_ int, h http.Header) Match {
+			if h.Get("Id") == id {
+				return MatchOwn
+			}
+			return MatchOther
+		}
 		in, err := pool.Do(t.Context(), out)
 		if err != nil {
 			t.Fatal(err)
@@ -231,3 +236,34 @@
 		}
 	}
 }
+
+// TestNoConnectionIsKeptAfterRefusal guards against a refusal that a server writes once more on the
+// connection, where the next request would get it.
+func TestNoConnectionIsKeptAfterRefusal(t *testing.T) {
+	for match, want := range map[Match]int64{
+		MatchOwn:            1,
+		MatchRefusal:        2,
+		MatchUnnamedRefusal: 2,
+	} {
+		server := newFixedServer(t, completeResponse)
+		c := NewConnPool(Limits{})
+		c.SetIdleLimits(map[Instance]int{server.instance: 1})
+		for range 2 {
+			in, err := c.Do(context.Background(), Outgoing{
+				Instance: server.instance,
+				Method:   http.MethodGet,
+				Target:   "/x",
+				Host:     "h.example",
+				Match:    func(int, http.Header) Match { return match },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.ReadAll(in.Body)
+			in.Finish(err == nil)
+		}
+		if got := server.connections.Load(); got != want {
+			t.Errorf("match %d: got %d connections for two requests, want %d", match, got, want)
+		}
+	}
+}
--- a/backend/guard_test.go
+++ b/backend/guard_test.go
@@ -53,7 +53,7 @@
 		Target:   "/x",
 		Host:     "h.example",
 		Header:   http.Header{},
-		Matches:  func(int, http.Header) bool { return true },
+		Match:    func(int, http.Header) Match { return MatchOwn },
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,8 +130,8 @@
 		Header:     x.s.cfg.Protocol.Forward(x.r.Header, forward),
 		Body:       x.body,
 		AtMostOnce: !x.route.Repeatable(),
-		Matches: func(status int, header http.Header) bool {
-			return x.s.cfg.Protocol.Matches(id, status, header)
+		Match: func(status int, header http.Header) backend.Match {
+			return x.s.cfg.Protocol.Match(id, status, header)
 		},
 	}
 }
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -147,6 +147,21 @@
 		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
 	case "refuse":
 		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case "late":
+		// Repeats an earlier refusal before it runs the request.
+		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(30 * time.Millisecond)
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
+	case "late421":
+		send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(30 * time.Millisecond)
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
+	case "lateNamed":
+		send("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(30 * time.Millisecond)
+		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
+	case "refuseNamed":
+		send("HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	case "full":
 		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n")
 	case "leaving":
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -20,8 +21,8 @@
 	Forward(received http.Header, f Forward) http.Header
 	// ReadResponse parses the status and headers of an instance's response.
 	ReadResponse(status int, header http.Header) Response
-	// Matches reports whether a response belongs to a request.
-	Matches(id routing.RequestID, status int, header http.Header) bool
+	// Match compares a response with a request.
+	Match(id routing.RequestID, status int, header http.Header) backend.Match
 	// Deliver copies the headers that are passed on to the caller.
 	Deliver(to, from http.Header)
 }
--- a/gateway/relaying.go
+++ b/gateway/relaying.go
@@ -116,8 +116,8 @@
 		Header:     r.request.Header,
 		Body:       r.request.Body,
 		AtMostOnce: r.request.AtMostOnce,
-		Matches: func(status int, header http.Header) bool {
-			return r.s.cfg.Protocol.Matches(r.request.Request, status, header)
+		Match: func(status int, header http.Header) backend.Match {
+			return r.s.cfg.Protocol.Match(r.request.Request, status, header)
 		},
 		Revoked: func() bool {
 			return !r.s.dispatch.maySend(placed.Instance.Service, placed, r.request.Permitted)
