Only a response that continues a stream is put behind what its caller has

A stream had begun and broke off, and the next server answered with an error: a status below 500 was delivered with its body into the middle of the stream, which ended as complete; so did 2xx responses of other kinds, and streams that began again. Streams whose events have no ids began twice. A continuation must have the status, kind and encoding of the beginning, and its first event an id behind the last one; anything else is a failed attempt. A stream whose last event has no id is not continued. Comments between events no longer count as events.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,6 +96,12 @@
 		x.attemptEnded(placed, placement.OutcomeFailed)
 		return resultInDoubt, eris.Errorf("response with status %d lacks the instance's signature", in.Status)
 	}
+	if x.headerSent {
+		if err := x.continues(in); err != nil {
+			in.Finish(false)
+			return x.endForeignAttempt(placed, err)
+		}
+	}
 	if x.route.Kind == routing.KindStream && in.Status/100 == 2 {
 		stopTimer()
 		return x.relayStream(ctx, placed, in, response)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,6 +82,9 @@
 	headerSent bool
 	events     int
 	lastEvent  string
+	// unresumable is set while the caller has more of the stream than the id of its last event says,
+	// so that no other response can continue it.
+	unresumable bool
 	// origin is where the stream began, nil until its first event was delivered by this response or
 	// an earlier one. Other software versions must not continue it.
 	origin *routing.Origin
@@ -351,7 +354,7 @@
 // budget if one is needed. A request that may have run is repeated only if its route
 // allows it.
 func (x *exchange) mayTryAgain(result attemptResult) bool {
-	if result == resultNoPath || x.deadline-clock.SinceBoot() < minAttemptTime {
+	if result == resultNoPath || x.unresumable || x.deadline-clock.SinceBoot() < minAttemptTime {
 		return false
 	}
 	if result == resultNotSent {
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -62,7 +62,8 @@
 	// byInstance has the number of requests at each instance.
 	byInstance map[string]int
 	list       []routing.Instance
-	// body is what the actions fin and abort send after the header fields of every response.
+	// body is what the actions fin and abort send after the header fields of every response, and the
+	// whole response of the action raw.
 	body string
 	// arrivals has the time of each request.
 	arrivals []time.Time
@@ -147,6 +148,9 @@
 		send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\ndone")
 	case "refuse":
 		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case "raw":
+		send(strings.Replace(in.body, "ID", id, 1))
+		return false
 	case "late":
 		// Repeats an earlier refusal before it runs the request.
 		send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,6 +34,10 @@
 			x.unfinishedBytes = events.unfinished
 			x.s.countStreamEnd(in.Framing, events.unfinished > 0)
 		}
+		if len(chunk) > 0 && x.headerSent && x.events == x.eventsBefore && !x.follows(events.firstID) {
+			in.Finish(false)
+			return x.endForeignAttempt(placed, eris.Wrapf(errNotContinued, "its first event has id %q, the caller has events up to %q", events.firstID, x.lastEvent))
+		}
 		if len(chunk) > 0 {
 			if !x.headerSent {
 				x.responseStarted(placed, response.Load)
@@ -42,6 +46,7 @@
 			if events.eventCount > 0 {
 				x.recordOrigin(placed.Instance)
 			}
+			x.unresumable = events.opaque || x.unresumable && events.eventCount == 0 || events.eventCount > 0 && !events.identified
 			if !x.sendEvents(chunk, events.eventCount, events.lastID) {
 				in.Finish(false)
 				x.attemptEnded(placed, placement.OutcomeNeutral)
@@ -128,8 +133,12 @@
 	start   int // index of the first pending byte
 	// eventCount is the number of events in the chunk last returned by next. lastID is
 	// the last event id in that chunk, if any.
+	// firstID is the id of the first event in that chunk, empty if that has none, and identified is
+	// whether the last one has an id.
 	eventCount int
 	lastID     string
+	firstID    string
+	identified bool
 	// unfinished is the number of bytes of an event that had begun when the stream ended.
 	unfinished int
 }
@@ -140,8 +149,7 @@
 func (e *eventReader) next() ([]byte, error) {
 	copy(e.buffer, e.buffer[e.start:e.start+e.pending])
 	e.start = 0
-	e.eventCount = 0
-	e.lastID = ""
+	e.eventCount, e.lastID, e.firstID, e.identified = 0, "", "", false
 	for {
 		if cap(e.buffer)-e.pending < 1024 {
 			if err := e.grow(); err != nil {
@@ -224,24 +232,36 @@
 	return end
 }
 
-// count sets eventCount and lastID for a chunk.
+// count sets what is known of the events in a chunk.
 func (e *eventReader) count(chunk []byte) {
-	inEvent := false
+	inEvent, id := false, ""
 	for line := range bytes.Lines(chunk) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if inEvent {
-				e.eventCount++
+				e.countEvent(id)
 			}
-			inEvent = false
+			inEvent, id = false, ""
 			continue
 		}
-		inEvent = true
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastID = string(bytes.TrimSpace(id))
+		inEvent = inEvent || line[0] != ':'
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
 		}
 	}
 	if inEvent {
-		e.eventCount++
+		e.countEvent(id)
+	}
+}
+
+// countEvent counts an event with an id, empty if it has none.
+func (e *eventReader) countEvent(id string) {
+	e.eventCount++
+	e.identified = id != ""
+	if e.eventCount == 1 {
+		e.firstID = id
+	}
+	if id != "" {
+		e.lastID = id
 	}
 }
