--- a/routing/config.go
+++ b/routing/config.go
@@ -136,6 +136,9 @@
 	return c.checkWorkspaces()
 }
 
+// maxWeight keeps the sum of a route's weights from overflowing.
+const maxWeight = 1 << 32
+
 // check returns an error for the first rule that the route violates.
 func (r Route) check(services map[fleet.ServiceID]bool) error {
 	switch r.Kind {
@@ -157,6 +160,9 @@
 		if t.Weight < 0 {
 			return fmt.Errorf("the weight of service %q is %d, want 0 or more", t.Service, t.Weight)
 		}
+		if t.Weight > maxWeight {
+			return fmt.Errorf("the weight of service %q is %d, want %d at the most", t.Service, t.Weight, int64(maxWeight))
+		}
 		total += t.Weight
 	}
 	if total == 0 {
