--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,12 @@
 
 # Injects random faults into real processes with new seeds, and keeps the logs of failed
 # runs: make soak SEEDS=50, or SEEDS=seed=N to repeat one seed. SIZE=wide runs more entry VMs
-# than hold a share of one budget, SIZE=large a fleet as large as a test machine allows.
+# than hold a share of one budget, SIZE=large a fleet as large as a test machine allows. OLD=REVISION
+# replaces VMs of that revision's build by new ones meanwhile, and back.
 SEEDS ?= 8
 soak:
-	WAXWINGREEL_SOAK=$(SEEDS) WAXWINGREEL_SOAK_SIZE=$(SIZE) WAXWINGREEL_SOAK_LOGS=bin/soak $(GO) test -count=1 -timeout 60m -parallel 4 -v ./soak -run TestFresh
+	@if [ -n "$(OLD)" ]; then rm -rf bin/old && mkdir -p bin/old/source && git archive $(OLD) | tar -x -C bin/old/source && cd bin/old/source && $(GO) build -o ../ ./cmd/waxwingreel; fi
+	WAXWINGREEL_SOAK_OLD=$(if $(OLD),$(CURDIR)/bin/old/waxwingreel) WAXWINGREEL_SOAK=$(SEEDS) WAXWINGREEL_SOAK_SIZE=$(SIZE) WAXWINGREEL_SOAK_LOGS=bin/soak $(GO) test -count=1 -timeout 60m -parallel 4 -v ./soak -run TestFresh
 
 # Simulates the arrival patterns with the placement policy and its alternatives, a few
 # seconds.
--- a/process/process.go
+++ b/process/process.go
@@ -58,6 +58,13 @@
 	return &Process{cfg: cfg}
 }
 
+// SetBinary sets the program of the next starts.
+func (p *Process) SetBinary(binary string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.Binary = binary
+}
+
 // Start starts the program unless it is running.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,9 @@
 const (
 	// seedsVariable is the number of new random seeds to run, or "seed=N" for one given seed.
 	seedsVariable = "WAXWINGREEL_SOAK"
+	// oldVariable is the path of the program as an earlier revision built it. If it is set, VMs of
+	// the two builds run side by side.
+	oldVariable = "WAXWINGREEL_SOAK_OLD"
 	// sizeVariable is "wide" for more entry VMs than hold a budget, or "large" for a fleet at the
 	// limits of a test machine.
 	sizeVariable = "WAXWINGREEL_SOAK_SIZE"
@@ -102,6 +105,7 @@
 func runSeed(t *testing.T, seed uint64) {
 	t.Logf("seed %d", seed)
 	h := newHarness(t, seed, sizes[os.Getenv(sizeVariable)])
+	h.chooseBuilds()
 	for _, v := range h.vms {
 		h.start(v)
 	}
@@ -122,6 +126,7 @@
 	h.workers.Go(h.watchProcesses)
 	h.workers.Go(h.limitInstance)
 	h.workers.Go(h.repeatDeadly)
+	h.workers.Go(h.replaceBuilds)
 	h.injectFaults(append(h.drawFaults(), h.drawTroubles()...))
 	faultsCleared := time.Now()
 	t.Logf("seed %d: all faults removed at %s", seed, h.elapsed())
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -113,6 +113,8 @@
 	// wiped is set once the data folder of a control VM was deleted.
 	wiped    atomic.Bool
 	operator *operator
+	// builds is nil unless two builds run side by side.
+	builds *builds
 
 	// ended is closed when the callers and the operator are to stop.
 	ended   chan struct{}
