--- a/controlclient/search.go
+++ b/controlclient/search.go
@@ -43,6 +43,8 @@
 	s          *subscription
 	err        error
 	stillStale bool
+	// leaderless is set if the stale replica does not know a leader.
+	leaderless bool
 }
 
 // startSearch starts a search that begins with the replica after last. While the node still follows a
@@ -98,8 +100,9 @@
 	return netip.AddrPort{}, false
 }
 
-// run probes replicas until one is found. It starts a further probe dialStagger after the one before,
-// or at once if that has shown its replica to be stale, and retryInterval after a probe has failed.
+// run probes replicas until one is found. It starts a further probe dialStagger after the one before, or
+// at once if that has shown its replica to be behind its leader, and retryInterval after a probe has
+// failed.
 func (s *search) run(last netip.AddrPort) {
 	defer close(s.ended)
 	defer s.stop()
@@ -123,6 +126,8 @@
 			case result.s != nil:
 				s.found <- result.s
 				return
+			case result.stillStale && result.leaderless:
+				due.Reset(leaderlessStagger)
 			case result.stillStale:
 				due.Reset(0)
 			default:
@@ -173,8 +178,14 @@
 func (s *search) awaitFresh(sub *subscription, results chan<- probeResult) error {
 	timeout := time.NewTimer(updateTimeout)
 	defer timeout.Stop()
+	repeat := time.NewTicker(probeInterval)
+	defer repeat.Stop()
 	for {
 		select {
+		case <-repeat.C:
+			if err := sub.ch.Send(s.c.heartbeat(true)); err != nil {
+				return err
+			}
 		case <-s.ctx.Done():
 			return s.ctx.Err()
 		case err := <-sub.ended:
@@ -192,10 +203,12 @@
 			if len(sub.received) > 1 {
 				continue
 			}
+			repeat.Stop()
 			timeout.Reset(stalePatience)
 			s.report(results, probeResult{
 				address:    sub.address,
 				stillStale: true,
+				leaderless: !update.Leader.IsValid(),
 			})
 		}
 	}
