The own protocol's refusals count only for the request that they name

Chats ask the engine whether it knows the attempt; idempotent calls are in doubt then and go elsewhere; calls that run at most once have connections of their own anyway.

--- a/backend/client.go
+++ b/backend/client.go
@@ -105,14 +105,26 @@
 // been sent.
 type sendTracker struct {
 	connected atomic.Bool
+	// reused is set if the connection had another request before.
+	reused atomic.Bool
 }
 
 func (s *sendTracker) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { s.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			s.connected.Store(true)
+			s.reused.Store(info.Reused)
+		},
 	})
 }
 
+// owns reports whether a refusal is that of the request with an id, which the header name repeats. A
+// server may write an earlier refusal once more on a connection that is used again.
+func (s *sendTracker) owns(response *http.Response, name, id string) bool {
+	echoed := response.Header.Get(name)
+	return echoed == id || echoed == "" && !s.reused.Load()
+}
+
 // requestError wraps the error of a request that got no response. Only a request that
 // got no connection is known not to have run.
 func (c *Client) requestError(step string, tracker *sendTracker, err error) error {
@@ -124,12 +136,14 @@
 }
 
 // statusError returns the error for a response that refuses the request, classified by
-// its headers and status, with the start of its body as the cause.
-func (c *Client) statusError(step string, response *http.Response) error {
+// its headers and status, with the start of its body as the cause. If the refusal may be another
+// request's, owned is false, and the request may run.
+func (c *Client) statusError(step string, response *http.Response, owned bool) error {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
 	_ = response.Body.Close()
 	kind := ErrInterrupted
 	switch {
+	case !owned:
 	case response.Header.Get(HeaderDraining) == "true":
 		kind = ErrDraining
 	case response.Header.Get(HeaderNotRun) == "true":
@@ -184,7 +198,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
-		return nil, c.statusError("start the stream", response)
+		return nil, c.statusError("start the stream", response, c.ownsRefusal(ctx, tracker, response, attempt))
 	}
 	s := &Stream{
 		client:  c,
@@ -200,6 +214,16 @@
 	return s, nil
 }
 
+// ownsRefusal reports whether a refusal is that of an attempt. If the refusal does not say so, the engine
+// is asked whether it knows the attempt.
+func (c *Client) ownsRefusal(ctx context.Context, tracker *sendTracker, response *http.Response, attempt string) bool {
+	if tracker.owns(response, HeaderAttempt, attempt) {
+		return true
+	}
+	state, err := c.Probe(ctx, attempt)
+	return err == nil && !state.Known
+}
+
 // doWithProbe sends a request. Until the response header arrives, it probes the server
 // at an interval over other connections. It cancels the request if the probe fails, if
 // the server does not know the attempt, since then the request was lost on the way, or
@@ -439,7 +463,7 @@
 	// http.Transport retries a request that has an Idempotency-Key header on its
 	// own. It looks for the canonical spelling only, so the lower-case name prevents
 	// the retry, while servers ignore the case.
-	request.Header["idempotency-key"] = []string{call.RequestID.String()}
+	request.Header[headerRequestID] = []string{call.RequestID.String()}
 	client := c.noReuseHTTP
 	if call.Idempotent {
 		client = c.http
@@ -449,7 +473,7 @@
 		return CallResponse{}, c.requestError("call", tracker, err)
 	}
 	if response.Header.Get(HeaderNotRun) == "true" {
-		return CallResponse{}, c.statusError("call", response)
+		return CallResponse{}, c.statusError("call", response, tracker.owns(response, headerRequestID, call.RequestID.String()))
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -19,6 +19,9 @@
 	// HeaderAttempt carries the id of one attempt of a request, which is unique for
 	// each attempt. Each chunk of the response repeats it.
 	HeaderAttempt = "X-Attempt-Id"
+	// headerRequestID carries the request's id in a call of a service. A refusal may repeat it, as one
+	// of an engine may repeat HeaderAttempt.
+	headerRequestID = "idempotency-key"
 	// HeaderPriority carries the request's priority; 0 is the most urgent.
 	HeaderPriority = "X-Priority"
 	// HeaderNotRun is "true" if the server refused the request without starting it.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -176,6 +176,7 @@
 	if e.draining || len(e.waiting) >= e.cfg.QueueLength && e.active >= e.cfg.Slots {
 		e.stats.Refused++
 		w.Header().Set(backend.HeaderNotRun, "true")
+		w.Header().Set(backend.HeaderAttempt, id)
 		if e.draining {
 			w.Header().Set(backend.HeaderDraining, "true")
 		}
--- a/standin/service.go
+++ b/standin/service.go
@@ -76,6 +76,7 @@
 	if s.draining {
 		s.mu.Unlock()
 		w.Header().Set(backend.HeaderNotRun, "true")
+		w.Header().Set("Idempotency-Key", id)
 		w.Header().Set(backend.HeaderDraining, "true")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
