--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -149,6 +149,10 @@
 		return nil, err
 	}
 	endpoint.Start()
+	var replicas []netip.AddrPort
+	for k := range f.cfg.control {
+		replicas = append(replicas, f.settings[(i+k)%f.cfg.control].Advertise.Wire)
+	}
 	seq := &atomic.Uint64{}
 	holder := fleet.Holder{
 		Node:        node,
@@ -159,7 +163,7 @@
 		client: controlclient.New(controlclient.Config{
 			Holder:   holder,
 			Endpoint: endpoint,
-			Replicas: []netip.AddrPort{f.settings[0].Advertise.Wire},
+			Replicas: replicas,
 			Report: func() roster.Report {
 				return roster.Report{
 					Holder:        holder,
--- a/measure/subjects.go
+++ b/measure/subjects.go
@@ -27,6 +27,10 @@
 			Name: "capacity",
 			Run:  Capacity,
 		},
+		{
+			Name: "restarts",
+			Run:  singleGroup(Restarts),
+		},
 		{
 			Name: "floods",
 			Run:  singleGroup(Floods),
