--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"slices"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -75,8 +75,11 @@
 			Targets:     targets,
 			MaxAttempts: 1,
 		}},
-		Services:   []routing.Service{{ID: "s"}},
-		Workspaces: []routing.Workspace{{ID: "w", Keys: []string{"k1"}}},
+		Services: []routing.Service{{ID: "s"}},
+		Workspaces: []routing.Workspace{{
+			ID:   "w",
+			Keys: []string{"k1"},
+		}},
 	}))
 	s.SetInstances(newInstances(t, "").list)
 	server := serveGateway(t, s)
