Heartbeats are answered at most each 0.4 s, and searches widen more slowly

Since updates repeat a node's clock, each heartbeat was followed by an update, also those that a node sends because it has something to tell. Probes of a search start 150, 300, 600 ms apart, so that hundreds of nodes that search at the same time do not dial three replicas each; a replica without a leader is no reason to go to the next at once. A comment in front of a continued stream's first event no longer counts as that event.

--- a/control/serve.go
+++ b/control/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
@@ -27,6 +28,10 @@
 	// hundreds of nodes restart, the roster changes more often than a replica can tell all its
 	// subscribers.
 	minUpdateInterval = 25 * time.Millisecond
+	// echoInterval is the least age of the last update for which a heartbeat is followed by another
+	// one. Nodes send heartbeats of their own accord, and further ones whenever they have something
+	// to tell.
+	echoInterval = 400 * time.Millisecond
 )
 
 // handle registers the replica's handlers with the endpoint.
@@ -179,6 +184,14 @@
 	// only by the replica's goroutine.
 	probes bool
 	echo   int64
+	// updatedAt is when the last update was made, on the boot clock in nanoseconds.
+	updatedAt atomic.Int64
+}
+
+// updateDue reports whether a heartbeat is to be followed by an update. Probes always are, and so is
+// the first heartbeat that is none.
+func (s *subscriber) updateDue(h Heartbeat, probedBefore bool, now time.Duration) bool {
+	return h.Probe || probedBefore || now-time.Duration(s.updatedAt.Load()) >= echoInterval
 }
 
 // serveSubscriber receives an entry node's heartbeats and sends updates to it.
@@ -214,14 +227,20 @@
 	ch.Close()
 }
 
-// receiveHeartbeats handles heartbeats. Each is followed by an update, which shows the node how long
+// receiveHeartbeats handles heartbeats. They are followed by updates, which show the node how long
 // ago its configuration was the newest.
 func (r *Replica) receiveHeartbeats(s *subscriber, ch *wire.Channel) {
+	probed := true
 	for {
 		heartbeat := Heartbeat{}
 		if ch.Receive(&heartbeat) != nil || !r.handleHeartbeat(s, heartbeat) {
 			return
 		}
+		due := s.updateDue(heartbeat, probed, clock.SinceBoot())
+		probed = heartbeat.Probe
+		if !due {
+			continue
+		}
 		select {
 		case s.notify <- struct{}{}:
 		default:
@@ -350,6 +369,7 @@
 // update returns what has changed since the last update to a subscriber.
 func (r *Replica) update(s *subscriber) Update {
 	now := clock.SinceBoot()
+	s.updatedAt.Store(int64(now))
 	update := Update{
 		Stale:       r.staleFor(s, now),
 		Echo:        s.echo,
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -41,16 +41,12 @@
 	// stalePatience is how long a search waits for a stale replica to become fresh before it asks
 	// another one in its place.
 	stalePatience = 700 * time.Millisecond
-	// leaderlessStagger is the time between the starts of two probes after one has shown a replica
-	// without a leader. The others are likely to have none either, and as soon as there is one, all
-	// replicas tell so. Hundreds of nodes that dial all of them would only delay the election.
-	leaderlessStagger = 300 * time.Millisecond
 	// probeInterval is the time after which a probe without a response is repeated. Something has to
 	// be sent for a process that has started again to reset the connections of the one before.
 	probeInterval  = 200 * time.Millisecond
 	retryInterval  = 50 * time.Millisecond
 	attemptTimeout = 1500 * time.Millisecond
-	// dialStagger is the time between the starts of two probes of a search, a few
+	// dialStagger is the time between the starts of the first two probes of a search, a few
 	// round trips.
 	dialStagger = 150 * time.Millisecond
 	// submitTimeout is the time to wait for the response to a command before another
--- a/controlclient/search.go
+++ b/controlclient/search.go
@@ -12,6 +12,9 @@
 	"github.com/waxwingreel/waxwingreel/event"
 )
 
+// maxStagger limits the time between the starts of two probes.
+const maxStagger = 600 * time.Millisecond
+
 // maxProbes is the number of replicas that a search asks at the same time.
 const maxProbes = 3
 
@@ -100,12 +103,14 @@
 	return netip.AddrPort{}, false
 }
 
-// run probes replicas until one is found. It starts a further probe dialStagger after the one before, or
-// at once if that has shown its replica to be behind its leader, and retryInterval after a probe has
-// failed.
+// run probes replicas until one is found. It starts a second probe dialStagger after the first, and
+// each further one twice as late: after a restart of the whole group, hundreds of nodes search at the
+// same time, and responses are late because of them. A probe that has failed, or has shown its replica
+// to be behind its leader, is followed by the next one at once.
 func (s *search) run(last netip.AddrPort) {
 	defer close(s.ended)
 	defer s.stop()
+	stagger := dialStagger
 	active := map[netip.AddrPort]bool{}
 	results := make(chan probeResult)
 	due := time.NewTimer(0)
@@ -120,14 +125,16 @@
 				active[address] = true
 				s.c.wait.Go(func() { s.probe(address, results) })
 			}
-			due.Reset(dialStagger)
+			due.Reset(stagger)
+			stagger = min(2*stagger, maxStagger)
 		case result := <-results:
 			switch {
 			case result.s != nil:
 				s.found <- result.s
 				return
 			case result.stillStale && result.leaderless:
-				due.Reset(leaderlessStagger)
+				// The others are likely to have no leader either. As soon as there is one, all tell so.
+				due.Reset(dialStagger)
 			case result.stillStale:
 				due.Reset(0)
 			default:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,7 +34,7 @@
 			x.unfinishedBytes = events.unfinished
 			x.s.countStreamEnd(in.Framing, events.unfinished > 0)
 		}
-		if len(chunk) > 0 && x.headerSent && x.events == x.eventsBefore && !x.follows(events.firstID) {
+		if events.eventCount > 0 && x.headerSent && x.events == x.eventsBefore && !x.follows(events.firstID) {
 			in.Finish(false)
 			return x.endForeignAttempt(placed, eris.Wrapf(errNotContinued, "its first event has id %q, the caller has events up to %q", events.firstID, x.lastEvent))
 		}
