Searches retry less often the longer they last

The time doubles up to 0.6 s; a stale replica that is being asked tells at once when it is up to date.

--- a/controlclient/search.go
+++ b/controlclient/search.go
@@ -12,11 +12,13 @@
 	"github.com/waxwingreel/waxwingreel/event"
 )
 
-// maxStagger limits the time between the starts of two probes.
-const maxStagger = 600 * time.Millisecond
-
-// maxProbes is the number of replicas that a search asks at the same time.
-const maxProbes = 3
+const (
+	// maxProbes is the number of replicas that a search asks at the same time.
+	maxProbes = 3
+	// maxStagger limits the time between the starts of two probes, and from the failure of one to the
+	// start of the next.
+	maxStagger = 600 * time.Millisecond
+)
 
 // Errors of subscriptions and probes.
 var (
@@ -35,7 +37,7 @@
 	ended chan struct{}
 
 	mu sync.Mutex
-	// excluded is the replica that the node still follows.
+	// excluded is the replica that the node still follows, the zero value if there is none.
 	excluded netip.AddrPort
 }
 
@@ -105,12 +107,13 @@
 
 // run probes replicas until one is found. It starts a second probe dialStagger after the first, and
 // each further one twice as late: after a restart of the whole group, hundreds of nodes search at the
-// same time, and responses are late because of them. A probe that has failed, or has shown its replica
-// to be behind its leader, is followed by the next one at once.
+// same time, and responses are late because of them. A probe that has shown its replica to be behind its
+// leader is followed by the next one at once, one that has failed after retryInterval, and later in a
+// long partition.
 func (s *search) run(last netip.AddrPort) {
 	defer close(s.ended)
 	defer s.stop()
-	stagger := dialStagger
+	stagger, retry := dialStagger, retryInterval
 	active := map[netip.AddrPort]bool{}
 	results := make(chan probeResult)
 	due := time.NewTimer(0)
@@ -140,7 +143,8 @@
 			default:
 				delete(active, result.address)
 				s.c.logProbe(result)
-				due.Reset(retryInterval)
+				due.Reset(retry)
+				retry = min(2*retry, maxStagger)
 			}
 		}
 	}
