--- a/controlclient/silent_test.go
+++ b/controlclient/silent_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/control"
-	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -40,19 +37,12 @@
 // not in force in time.
 func TestSilentReplicasDelayConfiguration(t *testing.T) {
 	silentSince := make(chan time.Time, 1)
-	c := New(Config{
-		Holder:   fleet.Holder{Node: "entry"},
-		Endpoint: newEndpoint(t, "entry"),
-		Replicas: []netip.AddrPort{
-			serveSilent(t, "followed", &control.Update{Routing: &routing.Config{Version: 6}}, silentSince),
-			serveSilent(t, "silent-1", nil, nil),
-			serveSilent(t, "silent-2", nil, nil),
-			serveReplica(t, "fresh", 0, control.Update{Routing: &routing.Config{Version: 7}}),
-		},
-		Report: func() roster.Report { return roster.Report{} },
-		Log:    event.New(io.Discard, "entry"),
-	})
-	defer c.Close()
+	c := newTestClient(t,
+		serveSilent(t, "followed", &control.Update{Routing: &routing.Config{Version: 6}}, silentSince),
+		serveSilent(t, "silent-1", nil, nil),
+		serveSilent(t, "silent-2", nil, nil),
+		serveReplica(t, "fresh", 0, control.Update{Routing: &routing.Config{Version: 7}}),
+	)
 	since := <-silentSince
 	for c.routingVersion() != 7 && time.Since(since) < 10*time.Second {
 		time.Sleep(10 * time.Millisecond)
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,20 +15,12 @@
 // says. Guards against an error's text in the middle of a stream, and against a stream that ends there
 // as if it were complete.
 func TestErrorContinuesStream(t *testing.T) {
-	text, err := os.ReadFile("testdata/continuations.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		name, quoted, ok := strings.Cut(strings.TrimSpace(line), " | ")
-		if !ok || strings.HasPrefix(line, "#") {
-			continue
-		}
-		response, err := strconv.Unquote(quoted)
+	for _, fields := range readCases(t, "testdata/continuations.txt", 2) {
+		response, err := strconv.Unquote(fields[1])
 		if err != nil {
-			t.Fatalf("%s: %v", name, err)
+			t.Fatalf("%s: %v", fields[0], err)
 		}
-		t.Run(name, func(t *testing.T) {
+		t.Run(fields[0], func(t *testing.T) {
 			const begun = "id: 1~data: e1~~id: 2~data: e2~~"
 			if got, err := readBrokenStream(t, "break raw", response, 2); got != begun || err == nil {
 				t.Errorf("got %q with error %v, want %q and a closed connection", got, err, begun)
--- a/gateway/repeatedrefusal_test.go
+++ b/gateway/repeatedrefusal_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,15 +16,7 @@
 // an earlier refusal once more on a kept connection, before it runs the request. Guards against
 // callers that are told that a request has not run while it does, and against a second run.
 func TestRepeatedRefusalCountsForAnother(t *testing.T) {
-	text, err := os.ReadFile("testdata/repeatedrefusals.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		fields := strings.Split(strings.TrimSpace(line), " | ")
-		if len(fields) != 6 || strings.HasPrefix(line, "#") {
-			continue
-		}
+	for _, fields := range readCases(t, "testdata/repeatedrefusals.txt", 6) {
 		t.Run(fields[0], func(t *testing.T) { runRepeatedRefusalCase(t, fields) })
 	}
 }
--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -30,18 +28,7 @@
 // not have, by the cases of testdata/unconfirmed.txt. Guards against 404 and 401 for what a newer
 // configuration has.
 func TestUnconfirmedNodeDeniesRoutes(t *testing.T) {
-	text, err := os.ReadFile("testdata/unconfirmed.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		fields := strings.Split(strings.TrimSuffix(line, "\n"), "|")
-		if len(fields) != 6 {
-			continue
-		}
-		for i := range fields {
-			fields[i] = strings.TrimSpace(fields[i])
-		}
+	for _, fields := range readCases(t, "testdata/unconfirmed.txt", 6) {
 		t.Run(fields[0], func(t *testing.T) { runUnconfirmedCase(t, fields) })
 	}
 }
