--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,7 +46,7 @@
 			if events.eventCount > 0 {
 				x.recordOrigin(placed.Instance)
 			}
-			x.unresumable = events.opaque || x.unresumable && events.eventCount == 0 || events.eventCount > 0 && !events.identified
+			x.unresumable = events.unresumable(x.unresumable)
 			if !x.sendEvents(chunk, events.eventCount, events.lastID) {
 				in.Finish(false)
 				x.attemptEnded(placed, placement.OutcomeNeutral)
@@ -203,6 +203,15 @@
 	return 0
 }
 
+// unresumable reports whether the stream cannot be resumed behind the chunk last returned by next, where
+// before tells whether it could not before that chunk. A chunk without events changes nothing.
+func (e *eventReader) unresumable(before bool) bool {
+	if e.eventCount == 0 && !e.opaque {
+		return before
+	}
+	return e.opaque || !e.identified
+}
+
 // grow doubles the buffer, which has no room for the rest of an event.
 func (e *eventReader) grow() error {
 	if int64(e.pending) > e.limit {
--- a/routing/instance.go
+++ b/routing/instance.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"unicode"
 	"unicode/utf8"
 )
@@ -32,9 +33,8 @@
 	if err := checkOptionalName("software version", string(i.Software)); err != nil {
 		return err
 	}
-	ip := i.Address.Addr()
 	switch {
-	case i.Address.Port() == 0 || !ip.IsValid() || ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" || ip.Is4() && ip.As4() == [4]byte{math.MaxUint8, math.MaxUint8, math.MaxUint8, math.MaxUint8}:
+	case !mayListen(i.Address):
 		return fmt.Errorf("address %s: no server can listen there", i.Address)
 	case i.Slots < 1 || i.Slots > maxSlots:
 		return fmt.Errorf("slots: got %d, want 1 to %d", i.Slots, maxSlots)
@@ -44,6 +44,15 @@
 	return nil
 }
 
+// broadcast is the address of all hosts of a network.
+var broadcast = netip.AddrFrom4([4]byte{math.MaxUint8, math.MaxUint8, math.MaxUint8, math.MaxUint8})
+
+// mayListen reports whether a server can listen at an address.
+func mayListen(address netip.AddrPort) bool {
+	ip := address.Addr()
+	return ip.IsValid() && address.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast() && ip != broadcast
+}
+
 // checkOptionalName is like checkName, but the name may be empty.
 func checkOptionalName(field, name string) error {
 	if name == "" {
