Events tell forfeited, charged and drawn quota apart

A raised total showed nowhere, 405 had only the most that a request may cost, forfeits were counted by each leader from its own start, drawn quota was in no metric, and a refusal for want of quota did not say who has the rest. Change: events 551 (total changed) and 552 (need unmet, with the leases by node), chargedTokens in 405, the gauge leased_borrowed_tokens, and forfeited tokens counted by the replicated ledger, so that event 550 has all of them whoever leads. No logic changes.

--- a/control/command.go
+++ b/control/command.go
@@ -64,6 +64,8 @@
 	// forfeited and returned. It appears only in the leader's log messages and is
 	// not sent.
 	forfeit ledger.Forfeit
+	// totals are the budgets whose totals a configuration has changed.
+	totals []totalChange
 	// Configured is the current routing version after a Configure.
 	Configured routing.Version `json:"configured,omitempty"`
 	// Evacuated has the evacuated data centres after an Evacuate. It is nil if the leader is of a version that
--- a/control/machine.go
+++ b/control/machine.go
@@ -66,7 +66,7 @@
 		m.ledger.Confirm(*c.Confirm)
 	}
 	if c.Configure != nil {
-		m.configure(*c.Configure, &effect)
+		m.configure(*c.Configure, &result, &effect)
 		result.Configured = m.routing.Config.Version
 	}
 	if c.Evacuate != nil {
@@ -89,20 +89,35 @@
 
 // configure replaces the routing configuration unless the current one has the same or
 // a higher version. The prepaid totals of its workspaces become metered budgets.
-func (m *stateMachine) configure(c Configuration, effect *effects) {
+func (m *stateMachine) configure(c Configuration, result *Result, effect *effects) {
 	if c.Config.Version <= m.routing.Config.Version {
 		return
 	}
 	m.routing = c
 	effect.routing = true
 	for _, w := range c.Config.Workspaces {
-		if w.Prepaid != nil {
-			recalls := m.ledger.SetMeteredPrepaid(fleet.BudgetID(w.ID), *w.Prepaid)
-			effect.recalls = append(effect.recalls, recalls...)
+		if w.Prepaid == nil {
+			continue
+		}
+		id := fleet.BudgetID(w.ID)
+		if before, known := m.ledger.MeteredBudget(id); known && before.Prepaid != *w.Prepaid {
+			result.totals = append(result.totals, totalChange{
+				budget: id,
+				before: before,
+				total:  *w.Prepaid,
+			})
 		}
+		effect.recalls = append(effect.recalls, m.ledger.SetMeteredPrepaid(id, *w.Prepaid)...)
 	}
 }
 
+// totalChange is a change of a metered budget's prepaid total.
+type totalChange struct {
+	budget fleet.BudgetID
+	before ledger.MeteredBudget
+	total  fleet.Tokens
+}
+
 func (m *stateMachine) applyTicket(ticket catalog.Ticket, now fleet.UnixMillis, effect *effects) *catalog.Outcome {
 	before := m.catalog.Version()
 	outcome := m.catalog.Apply(ticket, now, m.checkBudgets)
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -65,7 +65,7 @@
 		gauge("quota_leased_tokens", float64(leased))
 		gauge("quota_settled_tokens", float64(settled))
 		for _, bound := range ledger.Bounds {
-			gauge("quota_forfeited_"+string(bound)+"_tokens", float64(r.forfeits.byBound[bound]))
+			gauge("quota_forfeited_"+string(bound)+"_tokens", float64(r.quotaLog.forfeitedByBound[bound]))
 		}
 		if r.instancesNumber > 0 {
 			gauge("instance_list_age_seconds", (now - r.instancesAt).Seconds())
--- a/control/replica.go
+++ b/control/replica.go
@@ -125,7 +125,7 @@
 	snapshotBytes int64
 	// holderActivity is reset whenever this replica gains or loses leadership.
 	holderActivity holderActivity
-	forfeits       forfeits
+	quotaLog       quotaLog
 	// leadershipChangedAt is when this replica last gained or lost leadership.
 	leadershipChangedAt time.Duration
 	failed              error
@@ -220,7 +220,7 @@
 		snapshotBytes:   int64(len(contents.Snapshot.Data)),
 		failedSignal:    make(chan struct{}),
 		holderActivity:  holderActivity{},
-		forfeits:        newForfeits(),
+		quotaLog:        newQuotaLog(),
 		messages:        make(chan consensus.Message, 4096),
 		proposals:       make(chan proposal, 4096),
 		work:            make(chan func(), 256),
--- a/control/submit.go
+++ b/control/submit.go
@@ -75,14 +75,16 @@
 			Str("bound", string(result.forfeit.Bound)).
 			Any("forfeitedByBudget", result.forfeit.ByBudget).
 			Msg("applied the join of a node; if joined is true, the leases of its earlier incarnations have ended")
-		r.forfeits.add(result.forfeit)
+		r.quotaLog.forfeitedByBound[result.forfeit.Bound] += result.forfeit.Spent
 	}
 	r.logNearlySpent(command.Leases)
+	r.logUnmetNeeds(command.Leases, result.Leases)
 	if command.Configure != nil {
 		r.cfg.Log.Info(event.ConfigReplaced).
 			Uint64("version", uint64(command.Configure.Config.Version)).
 			Uint64("inForce", uint64(result.Configured)).
 			Msg("committed a routing configuration")
+		r.logTotals(result.totals)
 	}
 	if command.Evacuate != nil && result.Evacuated != nil {
 		r.cfg.Log.Info(event.EvacuationOrdered).
--- a/event/event.go
+++ b/event/event.go
@@ -81,15 +81,17 @@
 	NodeIsolated      ID = 509
 	RequestRelayed    ID = 510
 
-	EvacuationOrdered ID = 520
-	EvacuationInForce ID = 521
-	EvacuationCleared ID = 522
-	InstanceCold      ID = 525
-	EngineSpeed       ID = 530
-	RequestHeld       ID = 535
-	ClientsShed       ID = 540
-	ClientSurge       ID = 541
-	BudgetNearlySpent ID = 550
+	EvacuationOrdered  ID = 520
+	EvacuationInForce  ID = 521
+	EvacuationCleared  ID = 522
+	InstanceCold       ID = 525
+	EngineSpeed        ID = 530
+	RequestHeld        ID = 535
+	ClientsShed        ID = 540
+	ClientSurge        ID = 541
+	BudgetNearlySpent  ID = 550
+	BudgetTotalChanged ID = 551
+	NeedUnmet          ID = 552
 
 	OrderGiven   ID = 601
 	OrderRefused ID = 602
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -293,11 +293,15 @@
 	if x.reserved == 0 {
 		return
 	}
-	spent := fleet.Tokens(0)
-	if x.mayHaveRun {
-		spent = x.request.Prompt + min(x.request.MaxOutput, fleet.Tokens(x.events)*x.tokensPerEvent())
+	x.s.quotaManager.Load().Release(fleet.BudgetID(x.workspace.ID), x.reserved, x.charge())
+}
+
+// charge returns what the request costs by now.
+func (x *exchange) charge() fleet.Tokens {
+	if x.reserved == 0 || !x.mayHaveRun {
+		return 0
 	}
-	x.s.quotaManager.Load().Release(fleet.BudgetID(x.workspace.ID), x.reserved, min(spent, x.reserved))
+	return min(x.request.Prompt+min(x.request.MaxOutput, fleet.Tokens(x.events)*x.tokensPerEvent()), x.reserved)
 }
 
 // tokensPerEvent returns the output tokens charged per event: all of the maximum if the
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/lease"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/quota"
 )
@@ -75,17 +76,20 @@
 	gauge("configuration_unconfirmed_seconds", s.cfg.Control.Unconfirmed().Seconds())
 	gauge("control_group_in_reach", metrics.BoolValue(s.cfg.Control.ControlReachable()))
 	if quotaManager := s.quotaManager.Load(); quotaManager != nil {
-		free, reserved := sumHoldings(quotaManager)
-		gauge("leased_free_tokens", free)
-		gauge("leased_reserved_tokens", reserved)
+		sum := sumHoldings(quotaManager)
+		gauge("leased_free_tokens", float64(sum.Free))
+		gauge("leased_reserved_tokens", float64(sum.Reserved))
+		gauge("leased_borrowed_tokens", float64(sum.Borrowed))
 	}
 }
 
-// sumHoldings returns the free and reserved tokens of all leases.
-func sumHoldings(quotaManager *quota.Manager) (free, reserved float64) {
+// sumHoldings returns the tokens of all leases.
+func sumHoldings(quotaManager *quota.Manager) lease.Holding {
+	sum := lease.Holding{}
 	for _, h := range quotaManager.Holdings() {
-		free += float64(h.Free)
-		reserved += float64(h.Reserved)
+		sum.Free += h.Free
+		sum.Reserved += h.Reserved
+		sum.Borrowed += h.Borrowed
 	}
-	return free, reserved
+	return sum
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -322,6 +322,7 @@
 		Str("framing", string(x.framing)).
 		Int("unfinishedBytes", x.unfinishedBytes).
 		Int64("costTokens", int64(x.request.MaxCost())).
+		Int64("chargedTokens", int64(x.charge())).
 		Bool("mayHaveRun", x.mayHaveRun).
 		Bool("controlFresh", x.s.cfg.Control.ControlReachable()).
 		Int64("unconfirmedMillis", x.unconfirmed.Milliseconds()).
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -368,6 +368,8 @@
 	Budget   fleet.BudgetID `json:"budget"`
 	Free     fleet.Tokens   `json:"free"`
 	Reserved fleet.Tokens   `json:"reserved"`
+	// Borrowed is the part of Free that the ledger already counts as spent.
+	Borrowed fleet.Tokens `json:"borrowed,omitempty"`
 	// RatePerSecond is the average spending in tokens per second.
 	RatePerSecond float64 `json:"ratePerSecond"`
 }
@@ -381,6 +383,7 @@
 			Budget:        id,
 			Free:          q.free,
 			Reserved:      q.reserved,
+			Borrowed:      q.borrowed,
 			RatePerSecond: q.rate,
 		})
 	}
--- a/ledger/holder.go
+++ b/ledger/holder.go
@@ -163,6 +163,7 @@
 		risen := fleet.Tokens(float64(l.slope) * (ended - l.at).Seconds())
 		spent := min(l.limit+risen, l.outstanding)
 		a.spend(l, spent)
+		a.forfeited += spent
 		forfeit.Spent += spent
 		if spent > 0 {
 			forfeit.ByBudget[id] = spent
@@ -233,6 +234,7 @@
 			continue
 		}
 		spent += l.outstanding
+		a.forfeited += l.outstanding
 		a.spend(l, l.outstanding)
 		delete(a.leases, ended)
 	}
@@ -325,13 +327,27 @@
 	return view, true
 }
 
+// MeteredBudget has the totals of a metered budget.
+type MeteredBudget struct {
+	Prepaid fleet.Tokens
+	Settled fleet.Tokens
+	Leased  fleet.Tokens
+	// Forfeited is the part of Settled that ended incarnations may have spent and did not report.
+	Forfeited fleet.Tokens
+}
+
 // MeteredBudget returns the totals of a metered budget, and false if there is none of that id.
-func (s *State) MeteredBudget(id fleet.BudgetID) (prepaid, settled, leased fleet.Tokens, ok bool) {
+func (s *State) MeteredBudget(id fleet.BudgetID) (MeteredBudget, bool) {
 	a, ok := s.accounts[id]
 	if !ok || !a.metered {
-		return 0, 0, 0, false
-	}
-	return a.prepaid, a.settled, a.leased, true
+		return MeteredBudget{}, false
+	}
+	return MeteredBudget{
+		Prepaid:   a.prepaid,
+		Settled:   a.settled,
+		Leased:    a.leased,
+		Forfeited: a.forfeited,
+	}, true
 }
 
 // MeteredTotals returns how many tokens of all metered budgets are on lease and settled.
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -18,6 +18,9 @@
 	Calls        []CallImage        `json:"calls"`
 	// Registrations holds the incarnations that the ledger numbered itself.
 	Registrations map[fleet.NodeID]RegistrationImage `json:"lives,omitempty"`
+	// Forfeited has the budgets of which something was forfeited. It is no part of AccountImage, whose
+	// arrays the build before could not read with another element.
+	Forfeited map[fleet.BudgetID]fleet.Tokens `json:"forfeited,omitempty"`
 }
 
 // RegistrationImage is an incarnation that the ledger numbered, in an Image.
@@ -91,6 +94,7 @@
 		Now:           s.now,
 		Unbacked:      s.unbacked,
 		Registrations: map[fleet.NodeID]RegistrationImage{},
+		Forfeited:     map[fleet.BudgetID]fleet.Tokens{},
 	}
 	for node, r := range s.registrations {
 		image.Registrations[node] = RegistrationImage{
@@ -101,6 +105,9 @@
 	}
 	for id, a := range s.accounts {
 		image.Accounts = append(image.Accounts, a.image(id))
+		if a.forfeited > 0 {
+			image.Forfeited[id] = a.forfeited
+		}
 	}
 	sort.Slice(image.Accounts, func(i, j int) bool { return image.Accounts[i].ID < image.Accounts[j].ID })
 	for node, incarnation := range s.holders {
@@ -199,6 +206,7 @@
 	}
 	for _, a := range image.Accounts {
 		s.accounts[a.ID] = accountFromImage(a)
+		s.accounts[a.ID].forfeited = image.Forfeited[a.ID]
 	}
 	for _, holder := range image.Holders {
 		s.holders[holder.Node] = holder.Incarnation
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -87,7 +87,10 @@
 	prepaid fleet.Tokens
 	settled fleet.Tokens
 	leased  fleet.Tokens
-	leases  map[fleet.Holder]*lease
+	// forfeited is the part of settled that ended incarnations may have spent and did not report.
+	// It decides nothing.
+	forfeited fleet.Tokens
+	leases    map[fleet.Holder]*lease
 	// metered is true if holders report their spending as sums instead of settling
 	// each request. What an ended holder may have spent unreported counts as spent.
 	metered bool
