--- a/lease/powerloss_test.go
+++ b/lease/powerloss_test.go
@@ -19,6 +19,9 @@
 		w.cluster.start(n, fleet.NodeID(fmt.Sprint(i)), fmt.Sprint(w.cluster.now), false)
 		n.pool.SetHeldBudgets(int64(MeteredPerMille/len(w.cluster.nodes)), []fleet.BudgetID{testBudget}, w.cluster.now)
 	}
+	if w.holders > 0 {
+		w.hold()
+	}
 	var running []workloadRequest
 	for _, r := range w.running {
 		if !lost[r.node] {
--- a/lease/workload_test.go
+++ b/lease/workload_test.go
@@ -22,6 +22,12 @@
 	// focus is the part of the requests that the first node gets. The others are spread over all
 	// nodes.
 	focus float64
+	// holders, if not 0, is how many nodes hold the budget. The others draw from them; drawNeeds has
+	// what the holders could not give since their latest changes.
+	holders   int
+	drawNeeds map[*meteredNode][]fleet.Tokens
+	// commitTime is how long a change takes to the ledger and back.
+	commitTime time.Duration
 
 	requested fleet.Tokens
 	rejected  fleet.Tokens
@@ -54,6 +60,8 @@
 		rate:     rate,
 		meanCost: 10_000,
 		waiting:  map[*meteredNode][]workloadRequest{},
+
+		drawNeeds: map[*meteredNode][]fleet.Tokens{},
 	}
 	cluster := w.cluster
 	for i := range nodes {
@@ -79,14 +87,19 @@
 			w.sendRequest()
 		}
 		w.serve()
+		w.returnDrawn()
 		if w.partitioned {
 			continue
 		}
 		for _, n := range cluster.nodes {
 			cluster.send(n)
 		}
-		for len(cluster.commands) > 0 {
-			cluster.deliver(0, false)
+		for i := 0; i < len(cluster.commands); {
+			if cluster.now-cluster.commands[i].change.At < w.commitTime {
+				i++
+				continue
+			}
+			cluster.deliver(i, false)
 		}
 	}
 }
@@ -115,7 +128,7 @@
 	cost := fleet.Tokens(min(w.meanCost*math.Exp(w.rng.NormFloat64()*0.8-0.32), 6*w.meanCost))
 	w.requested += cost
 	switch {
-	case len(w.waiting[node]) == 0 && node.pool.Reserve(testBudget, cost, cluster.now), w.partitioned && w.borrow(node, cost):
+	case len(w.waiting[node]) == 0 && w.reserve(node, cost), w.partitioned && w.borrow(node, cost):
 		w.start(node, cost)
 	case w.partitioned:
 		w.rejected += cost
@@ -133,7 +146,7 @@
 func (w *testWorkload) serve() {
 	for _, node := range w.cluster.nodes {
 		waiting := w.waiting[node]
-		for len(waiting) > 0 && node.pool.Reserve(testBudget, waiting[0].cost, w.cluster.now) {
+		for len(waiting) > 0 && w.reserve(node, waiting[0].cost) {
 			w.start(node, waiting[0].cost)
 			waiting = waiting[1:]
 		}
@@ -142,14 +155,35 @@
 			waiting = waiting[1:]
 		}
 		w.waiting[node] = waiting
-		need := fleet.Tokens(0)
-		if len(waiting) > 0 {
-			need = waiting[0].cost
+		if !w.draws(node) {
+			w.setNeed(node)
 		}
-		node.pool.SetNeed(testBudget, need, w.cluster.now)
 	}
 }
 
+// reserve reserves quota from the node's own pool or, if it is no holder, from the holders.
+func (w *testWorkload) reserve(node *meteredNode, cost fleet.Tokens) bool {
+	if w.draws(node) {
+		return w.reserveDrawn(node, cost)
+	}
+	return node.pool.Reserve(testBudget, cost, w.cluster.now)
+}
+
+// setNeed tells the node's pool which requests and draws wait for quota.
+func (w *testWorkload) setNeed(node *meteredNode) {
+	var waiting []fleet.Tokens
+	for _, r := range w.waiting[node] {
+		waiting = append(waiting, r.cost)
+	}
+	waiting = append(waiting, w.drawNeeds[node]...)
+	delete(w.drawNeeds, node)
+	need := fleet.Tokens(0)
+	if len(waiting) > 0 {
+		need = waiting[0]
+	}
+	node.pool.SetNeed(testBudget, need, w.cluster.now)
+}
+
 func (w *testWorkload) start(node *meteredNode, cost fleet.Tokens) {
 	w.running = append(w.running, workloadRequest{
 		node: node,
--- a/quota/manager_test.go
+++ b/quota/manager_test.go
@@ -17,9 +17,12 @@
 	mu          sync.Mutex
 	state       *ledger.State
 	partitioned bool
+	// delay is how long a command takes.
+	delay time.Duration
 }
 
 func (l *fakeLedger) Submit(ctx context.Context, command control.Command) (control.Result, error) {
+	time.Sleep(l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.partitioned {
@@ -133,3 +136,50 @@
 		t.Fatal("got a reservation of 400, want a shortage: only 100 are left to lend")
 	}
 }
+
+// TestWaitersOfSpentBudgetAreRefusedTogether guards against requests of a workspace whose budget is spent that
+// wait until their time is up: the ledger's response refused one of them at a time.
+func TestWaitersOfSpentBudgetAreRefusedTogether(t *testing.T) {
+	const waiters = 40
+	l := &fakeLedger{
+		state: ledger.New(),
+		delay: 20 * time.Millisecond,
+	}
+	l.state.SetMeteredPrepaid("w", 1_000)
+	m := newManager(t, l, nil)
+	if shortage := m.Reserve(context.Background(), "w", 900); shortage != nil {
+		t.Fatalf("got %+v, want the quota", shortage)
+	}
+	m.Release("w", 900, 900)
+	started := time.Now()
+	shortages := make(chan *Shortage, waiters)
+	for range waiters {
+		go func() { shortages <- m.Reserve(context.Background(), "w", 200) }()
+	}
+	for range waiters {
+		if shortage := <-shortages; shortage == nil || !shortage.Exhausted {
+			t.Errorf("got %+v, want a shortage with an exhausted budget", shortage)
+		}
+	}
+	if got, want := time.Since(started), 200*time.Millisecond; got > want {
+		t.Errorf("got the last refusal after %s, want it within %s", got, want)
+	}
+	if shortage := m.Reserve(context.Background(), "w", 50); shortage != nil {
+		t.Errorf("got %+v for a request that the rest covers, want the quota", shortage)
+	}
+}
+
+// TestRaisedTotalIsSpentAtOnce guards against a budget that is taken for spent after its total was raised.
+func TestRaisedTotalIsSpentAtOnce(t *testing.T) {
+	l := &fakeLedger{state: ledger.New()}
+	l.state.SetMeteredPrepaid("w", 1_000)
+	m := newManager(t, l, nil)
+	if shortage := m.Reserve(context.Background(), "w", 2_000); shortage == nil || !shortage.Exhausted {
+		t.Fatalf("got %+v, want a shortage with an exhausted budget", shortage)
+	}
+	l.state.SetMeteredPrepaid("w", 10_000)
+	m.SetHeldBudgets(900, []fleet.BudgetID{"w"})
+	if shortage := m.Reserve(context.Background(), "w", 2_000); shortage != nil {
+		t.Errorf("got %+v after the total was raised, want the quota", shortage)
+	}
+}
