Requests of a spent budget are refused at once, together

What callers saw: after a loss of power the largest workspace got 503 noQuota after 306 ms (median) for requests that no node could serve, where 402 is the truth. Cause: the ledger's response that it cannot cover a need refused the first waiting request only. Each refusal took a commit, so that at a node with 30 requests a second most waited until their time was up. Why it works: the response refuses all that lack as much, and holds for 250 ms for later ones. Smaller requests still ask, and a new configuration, which may raise the total, ends it.

--- a/lease/pool.go
+++ b/lease/pool.go
@@ -92,8 +92,9 @@
 	// pending is the change that waits for its result, or nil.
 	pending   *ledger.LeaseChange
 	pendingAt time.Duration
-	// need is the cost of the first waiting request, or 0.
+	// need is the cost of the first waiting request, or 0, and waiting that of all of them.
 	need        fleet.Tokens
+	waiting     fleet.Tokens
 	recalled    bool
 	rate        float64 // tokens per second over rateWindow, or meteredWindow if metered
 	slowRate    float64 // tokens per second over slowWindow, or meteredSlowWindow
@@ -151,11 +152,18 @@
 	return true
 }
 
-// SetNeed sets the cost of the first request that waits for this budget. The costs of
-// several waiting requests are not added up: the ledger grants nothing for a sum that
-// the budget cannot cover, so all would be rejected where one could be served.
-func (p *Pool) SetNeed(budget fleet.BudgetID, need fleet.Tokens, now time.Duration) {
-	p.quota(budget, now).need = need
+// SetNeed sets the costs of the requests that wait for this budget, in order. Only the first
+// is a need: the ledger grants nothing for a sum that the budget cannot cover, so all would be
+// rejected where one could be served. Limits cover all of them.
+func (p *Pool) SetNeed(budget fleet.BudgetID, now time.Duration, waiting ...fleet.Tokens) {
+	q := p.quota(budget, now)
+	q.need, q.waiting = 0, 0
+	for _, amount := range waiting {
+		q.waiting += amount
+	}
+	if len(waiting) > 0 {
+		q.need = waiting[0]
+	}
 }
 
 // Release ends a reservation, of which the given part was spent.
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -19,6 +19,9 @@
 	// leaseTimeout is the timeout of one command to the ledger. It is longer than a
 	// leader election takes.
 	leaseTimeout = 3 * time.Second
+	// exhaustedTime is how long the ledger's response that it cannot cover a need holds for other
+	// requests that lack as much. After it, one asks again.
+	exhaustedTime = 250 * time.Millisecond
 )
 
 // Ledger submits commands to the control group, which replicates the ledger.
@@ -97,6 +100,8 @@
 	borrowing       map[fleet.BudgetID]*borrowState
 	pool            *lease.Pool
 	waiting         map[fleet.BudgetID][]*waiter
+	// exhausted has the latest response of the ledger that a budget cannot cover a need.
+	exhausted map[fleet.BudgetID]exhaustion
 	// sending is true while a command with lease changes is in flight.
 	sending bool
 	// lastSent is the sequence number of the last command that was sent, and
@@ -105,15 +110,6 @@
 	acknowledged uint64
 }
 
-// waiter is a request that waits for quota. It receives nil on result once its amount is
-// reserved, or the reason why it was rejected.
-type waiter struct {
-	amount          fleet.Tokens
-	deadline        time.Duration
-	ledgerResponded bool
-	result          chan *Shortage
-}
-
 // New starts a manager.
 func New(cfg Config) *Manager {
 	m := &Manager{
@@ -126,6 +122,7 @@
 		borrowing:       map[fleet.BudgetID]*borrowState{},
 		pool:            cfg.Pool,
 		waiting:         map[fleet.BudgetID][]*waiter{},
+		exhausted:       map[fleet.BudgetID]exhaustion{},
 	}
 	m.Start(tickInterval, m.expire, m.send)
 	return m
@@ -197,6 +194,14 @@
 			w.result <- nil
 			return
 		}
+		if m.knownExhausted(budget, amount) {
+			w.result <- &Shortage{
+				LedgerResponded: true,
+				Exhausted:       true,
+				Last:            m.pool.LastResult(budget),
+			}
+			return
+		}
 		if m.ledgerReachable != nil && !m.ledgerReachable() && !m.borrow(budget, amount) {
 			w.result <- &Shortage{LedgerUnreachable: true}
 			return
@@ -278,27 +283,6 @@
 	return lent
 }
 
-// cancelWait removes a waiter whose request was cancelled, or releases its reservation if
-// it got one in the meantime.
-func (m *Manager) cancelWait(budget fleet.BudgetID, w *waiter) {
-	select {
-	case s := <-w.result:
-		if s == nil {
-			m.pool.Release(budget, w.amount, 0, clock.SinceBoot())
-		}
-		return
-	default:
-	}
-	var kept []*waiter
-	for _, other := range m.waiting[budget] {
-		if other != w {
-			kept = append(kept, other)
-		}
-	}
-	m.waiting[budget] = kept
-	m.updateNeed(budget)
-}
-
 // Release ends a reservation, of which the given part was spent.
 func (m *Manager) Release(budget fleet.BudgetID, reserved, spent fleet.Tokens) {
 	m.Do(func() {
@@ -337,7 +321,11 @@
 // SetHeldBudgets sets the budgets that the node holds, and the part of each one's
 // remainder, in per mille, that it may hold.
 func (m *Manager) SetHeldBudgets(perMille int64, budgets []fleet.BudgetID) {
-	m.Do(func() { m.pool.SetHeldBudgets(perMille, budgets, clock.SinceBoot()) })
+	m.Do(func() {
+		// Totals may have been raised.
+		clear(m.exhausted)
+		m.pool.SetHeldBudgets(perMille, budgets, clock.SinceBoot())
+	})
 }
 
 // HandleRecalls records the ledger's recalls. The next changes respond to them.
@@ -356,33 +344,6 @@
 	return holdings
 }
 
-func (m *Manager) updateNeed(budget fleet.BudgetID) {
-	need := fleet.Tokens(0)
-	if waiting := m.waiting[budget]; len(waiting) > 0 {
-		need = waiting[0].amount
-	}
-	m.pool.SetNeed(budget, need, clock.SinceBoot())
-}
-
-// serveWaiters reserves quota for the waiting requests, in order.
-func (m *Manager) serveWaiters(budget fleet.BudgetID) {
-	waiting := m.waiting[budget]
-	for len(waiting) > 0 && m.pool.Reserve(budget, waiting[0].amount, clock.SinceBoot()) {
-		waiting[0].result <- nil
-		waiting = waiting[1:]
-	}
-	m.setWaiting(budget, waiting)
-}
-
-func (m *Manager) setWaiting(budget fleet.BudgetID, waiting []*waiter) {
-	if len(waiting) == 0 {
-		delete(m.waiting, budget)
-	} else {
-		m.waiting[budget] = waiting
-	}
-	m.updateNeed(budget)
-}
-
 // returnIdle returns drawn quota that no request has used for a while.
 func (m *Manager) returnIdle(now time.Duration) {
 	for _, budget := range m.pool.IdleBorrowed(retentionTime, now) {
@@ -455,30 +416,8 @@
 			continue
 		}
 		m.serveWaiters(budget)
-		m.rejectFirst(budget, changes[i], result)
-	}
-}
-
-// rejectFirst rejects the first waiting request if the ledger granted nothing for it and
-// has recalled no quota from other holders.
-func (m *Manager) rejectFirst(budget fleet.BudgetID, change ledger.LeaseChange, result ledger.LeaseResult) {
-	waiting := m.waiting[budget]
-	for _, w := range waiting {
-		w.ledgerResponded = true
-	}
-	if len(waiting) == 0 || change.Need == 0 || result.Granted > 0 || result.Recalling {
-		return
-	}
-	if m.pool.Shortfall(budget, waiting[0].amount) < change.Need {
-		// A different, smaller request is first now, and the ledger may cover it.
-		return
-	}
-	waiting[0].result <- &Shortage{
-		LedgerResponded: true,
-		Exhausted:       true,
-		Last:            result,
+		m.rejectExhausted(budget, changes[i], result)
 	}
-	m.setWaiting(budget, waiting[1:])
 }
 
 // ReturnAll returns all free quota to the holders and the ledger. It is called on a
