Limits cover all waiting requests, not the first alone

What callers saw: after a loss of power, 503 noQuota after 500 ms at the node where most callers of the largest workspace were, with 1.48M tokens free in its budget. Cause: a limit allows at once what was spent in the last second at the average rate, or the first waiting request if that is more. After a restart the average is 0, so that a commit served one request. Why it works: the next limit covers all that wait, as far as the quota is there. It forfeits no more than what is about to be spent. Needs stay those of the first request, since the ledger grants a sum whole or not at all. TestMeteredSpendStaysWithinPrepaid draws waiting sums too.

--- a/lease/metered.go
+++ b/lease/metered.go
@@ -246,10 +246,10 @@
 // Quota that is borrowed and free is spent before the lease, so it is no part of the change's limit.
 func (p *Pool) setLimit(q *quota, change *ledger.LeaseChange, target fleet.Tokens, now time.Duration) {
 	q.decayMetered(now)
-	allowed := max(min(fleet.Tokens(q.rate*limitHeadroom.Seconds()), target), q.need)
+	allowed := max(min(fleet.Tokens(q.rate*limitHeadroom.Seconds()), target), q.need, min(q.waiting, q.free))
 	slope := fleet.Tokens(float64(max(target-allowed, 0)) / LimitRise.Seconds())
 	if !q.active(now) {
-		allowed, slope = max(target, q.need), 0
+		allowed, slope = max(target, q.need, min(q.waiting, q.free)), 0
 	}
 	q.pendingLimit = &spendLimit{
 		level: q.used + allowed + min(q.borrowed, q.free),
--- a/lease/metered_test.go
+++ b/lease/metered_test.go
@@ -160,6 +160,7 @@
 					n.reserved = append(n.reserved, amount)
 				} else {
 					n.pool.SetNeed(testBudget, amount, c.now)
+					n.pool.SetWaiting(testBudget, amount*fleet.Tokens(rapid.IntRange(1, 3).Draw(t, "waiting")), c.now)
 				}
 			},
 			"finish": func(t *rapid.T) {
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -152,18 +152,19 @@
 	return true
 }
 
-// SetNeed sets the costs of the requests that wait for this budget, in order. Only the first
-// is a need: the ledger grants nothing for a sum that the budget cannot cover, so all would be
-// rejected where one could be served. Limits cover all of them.
-func (p *Pool) SetNeed(budget fleet.BudgetID, now time.Duration, waiting ...fleet.Tokens) {
+// SetNeed sets the cost of the first request that waits for this budget. The costs of
+// several waiting requests are not added up: the ledger grants nothing for a sum that
+// the budget cannot cover, so all would be rejected where one could be served.
+func (p *Pool) SetNeed(budget fleet.BudgetID, need fleet.Tokens, now time.Duration) {
 	q := p.quota(budget, now)
-	q.need, q.waiting = 0, 0
-	for _, amount := range waiting {
-		q.waiting += amount
-	}
-	if len(waiting) > 0 {
-		q.need = waiting[0]
-	}
+	q.need = need
+	q.waiting = need
+}
+
+// SetWaiting sets the cost of all requests that wait for this budget. It follows SetNeed. Limits
+// cover all of them, since a holder's lease may be large while it has spent little lately.
+func (p *Pool) SetWaiting(budget fleet.BudgetID, waiting fleet.Tokens, now time.Duration) {
+	p.quota(budget, now).waiting = waiting
 }
 
 // Release ends a reservation, of which the given part was spent.
--- a/lease/workload_test.go
+++ b/lease/workload_test.go
@@ -177,11 +177,15 @@
 	}
 	waiting = append(waiting, w.drawNeeds[node]...)
 	delete(w.drawNeeds, node)
-	need := fleet.Tokens(0)
-	if len(waiting) > 0 {
-		need = waiting[0]
+	need, all := fleet.Tokens(0), fleet.Tokens(0)
+	for i, amount := range waiting {
+		if i == 0 {
+			need = amount
+		}
+		all += amount
 	}
 	node.pool.SetNeed(testBudget, need, w.cluster.now)
+	node.pool.SetWaiting(testBudget, all, w.cluster.now)
 }
 
 func (w *testWorkload) start(node *meteredNode, cost fleet.Tokens) {
--- a/quota/waiting.go
+++ b/quota/waiting.go
@@ -24,11 +24,15 @@
 }
 
 func (m *Manager) updateNeed(budget fleet.BudgetID) {
-	need := fleet.Tokens(0)
-	if waiting := m.waiting[budget]; len(waiting) > 0 {
-		need = waiting[0].amount
+	need, all := fleet.Tokens(0), fleet.Tokens(0)
+	for i, w := range m.waiting[budget] {
+		if i == 0 {
+			need = w.amount
+		}
+		all += w.amount
 	}
 	m.pool.SetNeed(budget, need, clock.SinceBoot())
+	m.pool.SetWaiting(budget, all, clock.SinceBoot())
 }
 
 // serveWaiters reserves quota for the waiting requests, in order.
