A stream that nobody knows goes on only by a list read after it was resumed

Cause: such a VM has a list that counts as recent, up to 3 s old, or older and dated by when it arrived. By it the service has a single version, so a stream without a record went on there: a guess, since the VM that began it had a newer list. Why it works: a history of versions knows up to when it certainly has all lists, dated from end to end (start of the read, echo of a heartbeat, start of a call, stamps between replicas), and the stream waits for one that was read after it was resumed. What is known by a record goes on as before. A first heartbeat to a replica still counts its versions by its arrival.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -402,13 +402,25 @@
 	if m.Stamp == 0 {
 		return c.now
 	}
-	at := time.Duration(m.Echo - c.stampBase)
-	if at < c.cfg.Now || at > c.now {
+	at, ok := c.EchoedAt(m.Echo)
+	if !ok {
 		return 0
 	}
 	return at
 }
 
+// StampFrom returns the latest stamp of another replica, or 0 if there is none.
+func (c *Core) StampFrom(id ReplicaID) int64 {
+	return c.stamps[id]
+}
+
+// EchoedAt returns the time at which this process made a stamp that another replica has sent back. It
+// returns false for a stamp of an earlier process.
+func (c *Core) EchoedAt(echo int64) (time.Duration, bool) {
+	at := time.Duration(echo - c.stampBase)
+	return at, echo != 0 && at >= c.cfg.Now && at <= c.now
+}
+
 // Step processes a message from another replica.
 func (c *Core) Step(m Message, now time.Duration) {
 	c.now = max(c.now, now)
--- a/control/instances.go
+++ b/control/instances.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -16,6 +17,7 @@
 	}
 	list := r.instances
 	list.AgeMillis = (now - r.instancesAt).Milliseconds()
+	list.ProvenMillis = r.versions.ProvenMillis(now)
 	if number >= r.instancesChanged {
 		list.Unchanged = true
 		list.Instances = nil
@@ -27,9 +29,14 @@
 	return &list, r.instancesNumber
 }
 
-// SetInstances passes an instance list that this node has read to the other replicas and
-// to the subscribers.
+// SetInstances is SetInstancesRead for a list that was read just now.
 func (r *Replica) SetInstances(instances []routing.Instance) {
+	r.SetInstancesRead(instances, clock.SinceBoot())
+}
+
+// SetInstancesRead passes an instance list that this node has read, beginning at the given time since
+// boot, to the other replicas and to the subscribers.
+func (r *Replica) SetInstancesRead(instances []routing.Instance, readAt time.Duration) {
 	r.do(func() {
 		versions := r.versions.Report(clock.SinceBoot())
 		list := InstanceList{
@@ -39,12 +46,23 @@
 			Versions:  &versions,
 		}
 		r.applyInstances(list)
+		r.versions.Prove(readAt)
+		list.ProvenMillis = r.versions.ProvenMillis(clock.SinceBoot())
 		for _, a := range r.peers {
+			list.Echo = r.core.StampFrom(a.Replica)
 			r.cfg.Endpoint.Send(a.Address, MethodInstances, list)
 		}
 	})
 }
 
+// receiveInstances applies an instance list that another replica has read.
+func (r *Replica) receiveInstances(list InstanceList) {
+	r.applyInstances(list)
+	if sentAfter, ok := r.core.EchoedAt(list.Echo); ok {
+		r.versions.Prove(origin.ProvenAt(list.ProvenMillis, sentAfter))
+	}
+}
+
 // applyInstances stores an instance list read by this node or by another one, whose version may pass on
 // entries that no server can have.
 func (r *Replica) applyInstances(list InstanceList) {
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/consensus"
@@ -130,6 +131,13 @@
 	Unchanged bool `json:"same,omitempty"`
 	// Versions has the software versions that services have had.
 	Versions *origin.Report `json:"versions,omitempty"`
+	// ProvenMillis is as in origin.Report. Echo, between replicas, is the latest stamp that the sender has
+	// seen of the receiver.
+	ProvenMillis *int64 `json:"provenMillis,omitempty"`
+	Echo         int64  `json:"echo,omitempty"`
+	// ProvenAt is, on the receiver's clock, the time up to which no list that anyone has read is newer
+	// than this one, or 0 if that is not known.
+	ProvenAt time.Duration `json:"-"`
 }
 
 // OriginResponse is the response to MethodFindOrigin, whose request is an origin.Key.
--- a/control/serve.go
+++ b/control/serve.go
@@ -54,7 +54,7 @@
 	endpoint.HandleMessage(MethodInstances, func(_ fleet.NodeID, body []byte) {
 		list := InstanceList{}
 		if wire.Decode(body, &list) == nil {
-			r.do(func() { r.applyInstances(list) })
+			r.do(func() { r.receiveInstances(list) })
 		}
 	})
 	endpoint.HandleMessage(MethodEvidence, func(_ fleet.NodeID, body []byte) {
--- a/controlclient/origin.go
+++ b/controlclient/origin.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/origin"
 )
@@ -33,6 +34,7 @@
 	defer cancel()
 	replicas := c.originReplicas()
 	results := make(chan originResult, len(replicas))
+	asked := clock.SinceBoot()
 	for _, address := range replicas {
 		go func() {
 			result := originResult{}
@@ -49,6 +51,7 @@
 			continue
 		}
 		answer.Versions = append(answer.Versions, result.response.Versions)
+		answer.ProvenAt = max(answer.ProvenAt, origin.ProvenAt(result.response.Versions.ProvenMillis, asked))
 		if result.response.Known {
 			answer.Record = &result.response.Record
 			return answer, nil
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -3,12 +3,14 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/waxwingreel/waxwingreel/catalog"
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/origin"
 	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -89,7 +91,11 @@
 		c.SendHeartbeat()
 	}
 	if update.Instances != nil && watcher != nil {
-		(*watcher).HandleInstances(*update.Instances)
+		list := *update.Instances
+		if update.Echo != 0 {
+			list.ProvenAt = origin.ProvenAt(list.ProvenMillis, min(time.Duration(update.Echo), clock.SinceBoot()))
+		}
+		(*watcher).HandleInstances(list)
 	}
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
@@ -54,8 +55,8 @@
 	Interval func() time.Duration
 	// Due reports whether this node should read the list now.
 	Due func() bool
-	// Deliver is called with each list that was read.
-	Deliver func(instances []routing.Instance)
+	// Deliver is called with each list that was read, and the time since boot at which the read began.
+	Deliver func(instances []routing.Instance, readAt time.Duration)
 	Log     *event.Log
 }
 
@@ -104,6 +105,7 @@
 func (r *Reader) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	readAt := clock.SinceBoot()
 	instances, unreadable, err := r.cfg.Lister.List(ctx)
 	switch {
 	case err != nil && r.readable:
@@ -117,7 +119,7 @@
 		r.cfg.Log.Warn(event.EntriesSkipped).Int("skipped", unreadable).Int("instances", len(instances)).Msg("entries of the list of instances name no server that can exist; the others are used")
 	}
 	if err == nil {
-		r.cfg.Deliver(instances)
+		r.cfg.Deliver(instances, readAt)
 	}
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -31,7 +31,7 @@
 		Lister:   lister,
 		Interval: func() time.Duration { return LeaderInterval(leads.Load(), drain) },
 		Due:      leads.Load,
-		Deliver:  func([]routing.Instance) {},
+		Deliver:  func([]routing.Instance, time.Duration) {},
 		Log:      event.New(io.Discard, "c1"),
 	})
 	defer r.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -301,13 +301,20 @@
 	s.applyList(list)
 }
 
-// SetInstances applies an instance list that this node has read itself.
+// SetInstances is SetInstancesRead for a list that was read just now.
 func (s *Server) SetInstances(instances []routing.Instance) {
+	s.SetInstancesRead(instances, clock.SinceBoot())
+}
+
+// SetInstancesRead applies an instance list that this node has read itself, beginning at the given time
+// since boot.
+func (s *Server) SetInstancesRead(instances []routing.Instance, readAt time.Duration) {
 	s.listMu.Lock()
 	defer s.listMu.Unlock()
 	s.applyList(control.InstanceList{
 		Reader:    s.cfg.Node,
 		Instances: instances,
+		ProvenAt:  readAt,
 	})
 }
 
--- a/gateway/list.go
+++ b/gateway/list.go
@@ -115,6 +115,7 @@
 	held, digest := s.heldInstances, s.heldDigest
 	s.listMu.Unlock()
 	response := ListResponse{}
+	asked := clock.SinceBoot()
 	err := s.cfg.Peers.Call(ctx, address, MethodList, ListRequest{Digest: digest}, &response)
 	age := time.Duration(response.AgeMillis) * time.Millisecond
 	if err != nil || !response.Known || age > maxPassedAge {
@@ -125,13 +126,17 @@
 	} else {
 		response.Instances, _ = routing.SoundInstances(response.Instances)
 	}
-	s.listMu.Lock()
-	defer s.listMu.Unlock()
-	s.applyList(control.InstanceList{
+	list := control.InstanceList{
 		AgeMillis: response.AgeMillis,
 		Instances: response.Instances,
 		Versions:  response.Versions,
-	})
+	}
+	if response.Versions != nil {
+		list.ProvenAt = origin.ProvenAt(response.Versions.ProvenMillis, asked)
+	}
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	s.applyList(list)
 	return true
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,6 +20,11 @@
 	originReportDelay = 20 * time.Millisecond
 	// maxOriginsReported bounds the streams in one heartbeat.
 	maxOriginsReported = 1024
+	// versionsWaitFraction and maxVersionsWait bound the wait for a list that was read after a stream was
+	// resumed, as a fraction of the remaining time and in all. Lists come every second.
+	versionsWaitFraction = 0.4
+	maxVersionsWait      = 2500 * time.Millisecond
+	versionsPollInterval = 25 * time.Millisecond
 )
 
 // origins knows where streams began and which software versions services have had. It is safe for
@@ -45,6 +51,7 @@
 		o.versions.Merge(*list.Versions, clock.SinceBoot())
 	}
 	o.versions.Observe(list.Instances, readAt)
+	o.versions.Prove(list.ProvenAt)
 }
 
 // report returns the versions that services have had, for another node.
@@ -91,20 +98,40 @@
 	return o.table.Find(key, clock.SinceBoot())
 }
 
-// single returns the version of a service if it has had no other for a time.
-func (o *origins) single(service fleet.ServiceID, window time.Duration) (routing.SoftwareVersion, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.versions.Single(service, window, clock.SinceBoot())
+// single returns the version of a service if it has had no other for a time, by a history that has all
+// lists that were read before the stream was resumed: the node that began it may have had a newer list
+// than this one. It waits for such a list.
+func (o *origins) single(ctx context.Context, service fleet.ServiceID, window, resumed, wait time.Duration) (routing.SoftwareVersion, bool) {
+	for deadline := clock.SinceBoot() + wait; ; {
+		o.mu.Lock()
+		now := clock.SinceBoot()
+		proven := o.versions.Proven(resumed)
+		version, ok := o.versions.Single(service, window, now)
+		o.mu.Unlock()
+		if !ok || proven {
+			return version, ok
+		}
+		if now >= deadline {
+			return "", false
+		}
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-time.After(versionsPollInterval):
+		}
+	}
 }
 
 // learn records what control replicas know of versions.
-func (o *origins) learn(reports []origin.Report) {
+func (o *origins) learn(answer origin.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, r := range reports {
+	for _, r := range answer.Versions {
 		o.versions.Merge(r, clock.SinceBoot())
 	}
+	if len(answer.Versions) > 0 {
+		o.versions.Prove(answer.ProvenAt)
+	}
 }
 
 // TakeOrigins implements controlclient.Watcher.
@@ -168,7 +195,7 @@
 	if !known && key.Request != "" {
 		source = originControl
 		answer, err := x.s.cfg.Control.FindOrigin(x.ctx, key)
-		x.s.origins.learn(answer.Versions)
+		x.s.origins.learn(answer)
 		if err == nil && answer.Record != nil {
 			record, known = *answer.Record, true
 		}
@@ -182,7 +209,8 @@
 	if len(x.route.Targets) > 1 {
 		return routing.Origin{}, originUnknown
 	}
-	software, ok := x.s.origins.single(x.service.ID, origin.TTL(x.route.Timeout))
+	wait := min(time.Duration(float64(x.deadline-clock.SinceBoot())*versionsWaitFraction), maxVersionsWait)
+	software, ok := x.s.origins.single(x.ctx, x.service.ID, origin.TTL(x.route.Timeout), x.arrived, wait)
 	if !ok {
 		return routing.Origin{}, originUnknown
 	}
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/controlclient"
 	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/fleet"
@@ -208,6 +209,8 @@
 		for _, s := range c.nodes {
 			s.SetInstances(list)
 		}
+	case "push":
+		c.push(fields[1], fields[2], fields[3:])
 	case "break":
 		in := c.instances[fields[1]]
 		in.mu.Lock()
@@ -221,6 +224,9 @@
 		}
 	case "control":
 		c.setControl(fields[1])
+	case "soon":
+		// A push that comes while the next step runs.
+		time.AfterFunc(100*time.Millisecond, func() { c.push(fields[1], fields[2], fields[3:]) })
 	case "begin":
 		c.began, c.versions = "", nil
 		c.request(fields[1], step, want)
@@ -233,6 +239,28 @@
 	}
 }
 
+// push passes a list to one node as an update of a control replica that has known the listed versions, and
+// no others, for two minutes. The update proves what was listed up to the given time ago.
+func (c *versionsCase) push(node, provenAgo string, ids []string) {
+	ago, err := time.ParseDuration(provenAgo)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	now := clock.SinceBoot()
+	list := control.InstanceList{
+		ProvenAt: now - ago,
+		Versions: &origin.Report{SinceMillis: (2 * time.Minute).Milliseconds()},
+	}
+	for _, id := range ids {
+		list.Instances = append(list.Instances, c.instances[id].listed)
+		list.Versions.Versions = append(list.Versions.Versions, origin.Version{
+			Service:  "s",
+			Software: c.instances[id].listed.Software,
+		})
+	}
+	c.nodes[node].HandleInstances(list)
+}
+
 // setControl cuts the nodes off from the control replica, or makes it start again without memory.
 func (c *versionsCase) setControl(state string) {
 	c.replica.mu.Lock()
--- a/node/site.go
+++ b/node/site.go
@@ -70,7 +70,7 @@
 			Lister:   lister,
 			Interval: func() time.Duration { return discovery.LeaderInterval(n.HoldsLeaderLease(), drain) },
 			Due:      n.HoldsLeaderLease,
-			Deliver:  n.replica.SetInstances,
+			Deliver:  n.replica.SetInstancesRead,
 		})
 	}
 	n.endpoint.Start()
@@ -132,7 +132,7 @@
 		Delay:    discovery.StaleAfter,
 		Interval: g.ListInterval,
 		Due:      g.ListDue,
-		Deliver:  g.SetInstances,
+		Deliver:  g.SetInstancesRead,
 	})
 	n.background.Go(func() {
 		n.join()
--- a/origin/history.go
+++ b/origin/history.go
@@ -22,6 +22,9 @@
 	// Nothing is unknown of the time from since to last. Both are 0 before the first list.
 	since time.Duration
 	last  time.Duration
+	// provenAt is the latest time up to which no list that anyone has read lacks in the history, however
+	// late lists and reports arrived. 0 if there is none.
+	provenAt time.Duration
 	// listedAt has the time at which each version was last in the list.
 	listedAt map[fleet.ServiceID]map[routing.SoftwareVersion]time.Duration
 }
@@ -30,9 +33,12 @@
 type Report struct {
 	// SinceMillis and LastMillis are the ages of the start and the end of the time of which the
 	// sender knows all.
-	SinceMillis int64     `json:"sinceMillis"`
-	LastMillis  int64     `json:"lastMillis"`
-	Versions    []Version `json:"versions,omitempty"`
+	SinceMillis int64 `json:"sinceMillis"`
+	LastMillis  int64 `json:"lastMillis"`
+	// ProvenMillis is the age of the latest time up to which the sender certainly lacks no version. It is
+	// nil if there is none, and in reports of nodes that do not know it.
+	ProvenMillis *int64    `json:"provenMillis,omitempty"`
+	Versions     []Version `json:"versions,omitempty"`
 }
 
 // Version is a version that a service has had.
@@ -96,11 +102,41 @@
 	h.extend(ago(r.SinceMillis), ago(r.LastMillis))
 }
 
+// Prove records that the history has the versions of all lists that were read before a time.
+func (h *History) Prove(at time.Duration) {
+	h.provenAt = max(h.provenAt, at)
+}
+
+// Proven reports whether the history certainly has the versions of all lists that were read before a time.
+func (h *History) Proven(at time.Duration) bool {
+	return h.provenAt > 0 && h.provenAt >= at
+}
+
+// ProvenMillis returns the age of the time up to which Proven holds, or nil if there is none.
+func (h *History) ProvenMillis(now time.Duration) *int64 {
+	if h.provenAt == 0 {
+		return nil
+	}
+	// Rounded up, since a time must not look later than it is.
+	age := (now - h.provenAt).Milliseconds() + 1
+	return &age
+}
+
+// ProvenAt returns the time that a message proves. It was sent after the given time on the receiver's
+// clock, however late it arrived. It returns 0 if the message proves nothing.
+func ProvenAt(provenMillis *int64, sentAfter time.Duration) time.Duration {
+	if provenMillis == nil || *provenMillis < 0 {
+		return 0
+	}
+	return max(sentAfter-time.Duration(*provenMillis)*time.Millisecond, 0)
+}
+
 // Report returns what is known.
 func (h *History) Report(now time.Duration) Report {
 	r := Report{
-		SinceMillis: (now - h.since).Milliseconds(),
-		LastMillis:  (now - h.last).Milliseconds(),
+		SinceMillis:  (now - h.since).Milliseconds(),
+		LastMillis:   (now - h.last).Milliseconds(),
+		ProvenMillis: h.ProvenMillis(now),
 	}
 	for service, versions := range h.listedAt {
 		for software, at := range versions {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -57,6 +57,8 @@
 	Record *Record
 	// Versions has the software versions that each of them has seen.
 	Versions []Report
+	// ProvenAt is the latest time up to which one of them certainly lacks no version, or 0.
+	ProvenAt time.Duration
 }
 
 // Table holds records. Its zero value is ready for use. It is not safe for concurrent use.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -162,3 +162,39 @@
 		t.Errorf("got %+v, want the record of v2 alone after the others have expired", got)
 	}
 }
+
+// TestLateReportProvesNothingNew guards against a report that was under way while its receiver was frozen and
+// counts as new when it arrives.
+func TestLateReportProvesNothingNew(t *testing.T) {
+	sender, receiver := History{}, History{}
+	sender.Observe(listOf("v1"), 10*time.Second)
+	sender.Prove(10 * time.Second)
+	report := sender.Report(11 * time.Second)
+	// The receiver asked at 50 s of its own clock, and is frozen from 51 to 56 s.
+	receiver.Merge(report, 56*time.Second)
+	receiver.Prove(ProvenAt(report.ProvenMillis, 50*time.Second))
+	for _, test := range []struct {
+		at   time.Duration
+		want bool
+	}{
+		{
+			at:   48 * time.Second,
+			want: true,
+		},
+		{
+			at:   49*time.Second + 500*time.Millisecond,
+			want: false,
+		},
+		{
+			at:   56 * time.Second,
+			want: false,
+		},
+	} {
+		if got := receiver.Proven(test.at); got != test.want {
+			t.Errorf("at %s: got proven %v, want %v", test.at, got, test.want)
+		}
+	}
+	if got := ProvenAt(nil, 50*time.Second); got != 0 {
+		t.Errorf("got %s proven by a report of the build before, want 0", got)
+	}
+}
