Requests late in a planned stop end in time, are answered or have not run

What callers saw (report of another operator): requests that came late in the grace of a planned stop were taken and passed on, and cut off at its end with no answer, among them requests that may not be repeated. Cause: a stopping VM accepted all requests until it closed its listener, 4 s after SIGTERM, and on connections in use later still, whatever their timeout. What ran at the end was aborted with its connection. Why it works: once all lists of VMs that callers may hold have expired (3 s), a request whose deadline is after the end of the stop is refused and has not run. What still runs 150 ms before the abort gets 504. Requests sent for other VMs are waited for too; new ones were refused already. The node's own interface, whose stop takes two minutes, is unchanged.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -145,8 +145,14 @@
 		x.refuse(x.suspensionCause())
 		return
 	}
+	if !x.endsInTime() {
+		x.refuse(CauseNodeStopping)
+		return
+	}
+	running, ended := x.s.withEnd(x.r.Context())
+	defer ended()
 	remaining := x.deadline - clock.SinceBoot()
-	ctx, cancel := context.WithTimeoutCause(x.r.Context(), remaining, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(running, remaining, errDeadline)
 	defer cancel()
 	x.ctx = ctx
 	if !x.findOrigin() || !x.awaitRoom() || !x.reserve() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,10 @@
 	quotaManager atomic.Pointer[quota.Manager]
 	view         atomic.Pointer[routing.View]
 	draining     atomic.Bool
+	drain        atomic.Pointer[drain]
+	// requestsEnd ends when a planned stop has no more time for requests.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 	// hasList is set once the node has had a list of instances.
 	hasList  atomic.Bool
 	inFlight atomic.Int64
@@ -170,6 +174,7 @@
 		listReadAt: -time.Hour,
 		crashes:    crashChecks{goneAt: map[fleet.BackendServerID]time.Duration{}},
 	}
+	s.requestsEnd, s.endRequests = context.WithCancel(context.Background())
 	s.claims = newClaimRegistry(cfg, s.peers)
 	s.permits = newPermits(cfg, s.claims)
 	s.origins = newOrigins(cfg)
@@ -386,12 +391,6 @@
 	return s.inFlight.Load()
 }
 
-// StartDraining makes the node unready and closes callers' connections after their next
-// response, so that they move to other nodes.
-func (s *Server) StartDraining() {
-	s.draining.Store(true)
-}
-
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -25,10 +25,12 @@
 	CauseNoConfiguration Cause = "noConfiguration"
 	// CauseNodeBusy means that this node has as many requests in flight as its memory
 	// allows.
-	CauseNodeBusy   Cause = "nodeBusy"
-	CauseMalformed  Cause = "malformed"
-	CauseNoRoute    Cause = "noRoute"
-	CauseUnknownKey Cause = "unknownKey"
+	CauseNodeBusy Cause = "nodeBusy"
+	// CauseNodeStopping means that a planned stop of this node leaves too little time.
+	CauseNodeStopping Cause = "nodeStopping"
+	CauseMalformed    Cause = "malformed"
+	CauseNoRoute      Cause = "noRoute"
+	CauseUnknownKey   Cause = "unknownKey"
 	// CauseUnconfirmed means that the configuration has no such route or key, but a newer one may
 	// have it.
 	CauseUnconfirmed    Cause = "unconfirmed"
@@ -115,7 +117,7 @@
 	switch cause {
 	case CauseInstanceBusy, CauseUnreachable:
 		base = retryDelayBusy
-	case CauseNoQuota, CauseNodeBusy:
+	case CauseNoQuota, CauseNodeBusy, CauseNodeStopping:
 		base = retryDelayOtherNode
 	}
 	return jitter(base)
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -117,7 +117,7 @@
 			want:    gateway.RelayIsolated,
 		},
 		"stopping node": {
-			prepare: func(f *isolatedFleet) { f.servers[0].StartDraining() },
+			prepare: func(f *isolatedFleet) { f.servers[0].StartDraining(time.Second, 8*time.Second) },
 			want:    gateway.RelayBusy,
 		},
 	} {
--- a/node/site.go
+++ b/node/site.go
@@ -32,6 +32,8 @@
 	// closing. Remaining requests are aborted when it begins. Callers expect that
 	// only in the last sixth of the stop, so the reserve must be shorter.
 	stopReserve = time.Second
+	// answerTime is the time before that in which requests that still run are answered.
+	answerTime = 150 * time.Millisecond
 	// heapShare is the share of the process's memory that is set as the Go
 	// runtime's soft memory limit. The rest is for stacks, kernel buffers and
 	// requests in flight.
@@ -286,11 +288,15 @@
 	if g == nil {
 		return
 	}
-	g.StartDraining()
+	g.StartDraining(maxTTLFactor*directoryTTL, total-answerTime)
 	sleep(stopCtx, maxTTLFactor*directoryTTL+directoryMargin)
 	if err := n.site.callerServer.Shutdown(stopCtx); err != nil {
 		n.cfg.Log.Error(event.NodeCut).Int64("requests", g.InFlight()).Err(err).Msg("planned stop exceeded its time; the remaining requests are aborted")
 	}
+	// Those that this node sends for others count too.
+	for g.InFlight() > 0 && sleep(stopCtx, stopPollInterval) {
+		continue
+	}
 	returnCtx, returnCancel := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
 	defer returnCancel()
 	if err := g.Close(returnCtx); err != nil {
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -255,11 +255,11 @@
 	}
 }
 
-// TestStopAbortsOnlyInTheLastSixth checks stopReserve: callers expect that a planned
+// TestStopAbortsOnlyInTheLastSixth checks stopReserve and answerTime: callers expect that a planned
 // stop aborts requests in its last sixth, and no sooner.
 func TestStopAbortsOnlyInTheLastSixth(t *testing.T) {
 	const stop = 8 * time.Second
-	if got, want := stop-stopReserve, stop*5/6; got < want {
+	if got, want := stop-stopReserve-answerTime, stop*5/6; got < want {
 		t.Errorf("got requests aborted after %v of %v, want at least %v", got, stop, want)
 	}
 }
