Requests whose caller leaves before the instance has begun are not charged

What callers saw: workspaces whose callers give up early got 402 long before they had consumed what they prepaid. Cause: a request that was sent was charged its prompt, since it might have run. When the caller left, the connection to the instance was closed at once, so that nothing told whether a response had begun. A request starts to run with its first token. Why it works: the sending side alone is closed, and the connection is read until the instance ends it, for at most 150 ms. Ended without a byte, nothing had begun. A byte, a reset, or an instance that goes on is charged as before, and so is a request at its deadline.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -43,6 +43,8 @@
 	// readBufferBytes is enough for a response header and the first events of a
 	// stream.
 	readBufferBytes = 4 << 10
+	// abandonTimeout limits the wait for a server to end a connection whose caller has left.
+	abandonTimeout = 150 * time.Millisecond
 )
 
 // Counters of connections to instances.
@@ -114,6 +116,21 @@
 	idleSince   time.Time
 	retirements int
 	reused      bool
+	// headRead is set once the head of the response to the current request was read.
+	headRead atomic.Bool
+}
+
+// abandon ends the exchange, so that the server can cancel the work. If the caller left before the
+// response began, only the sending side is closed: until the server ends the connection, and
+// abandonTimeout at most, it shows whether a response had begun.
+func (c *Conn) abandon(cause error) {
+	if half, ok := c.conn.(*net.TCPConn); ok && errors.Is(cause, context.Canceled) && !c.headRead.Load() {
+		_ = half.SetReadDeadline(time.Now().Add(abandonTimeout))
+		if half.CloseWrite() == nil {
+			return
+		}
+	}
+	_ = c.conn.Close()
 }
 
 // ErrRevoked means that the instance stopped taking requests while the request waited for a connection.
@@ -123,7 +140,10 @@
 type SendError struct {
 	// Sent is set if part of the request may have been sent, so that it may have run.
 	Sent bool
-	Err  error
+	// Unbegun is set if the caller left and the instance then ended the connection without having sent
+	// anything: it had produced no part of a response.
+	Unbegun bool
+	Err     error
 }
 
 // Error implements the error interface.
@@ -200,17 +220,23 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { conn.abandon(context.Cause(ctx)) })
 	in, reusable, err := conn.exchange(out)
+	conn.headRead.Store(true)
+	if err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		stop()
 		_ = conn.conn.Close()
+		unbegun := ctx.Err() != nil && errors.Is(err, io.ErrUnexpectedEOF) && conn.guard.received == 0
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
 		return nil, &SendError{
-			Sent: true,
-			Err:  eris.Wrapf(err, "backend: %s at %s", out.Instance.ID, out.Instance.Address),
+			Sent:    true,
+			Unbegun: unbegun,
+			Err:     eris.Wrapf(err, "backend: %s at %s", out.Instance.ID, out.Instance.Address),
 		}
 	}
 	in.End = func(complete bool) {
@@ -365,6 +391,8 @@
 }
 
 func (c *Conn) write(out Outgoing) error {
+	c.guard.received = 0
+	c.headRead.Store(false)
 	buffer := make([]byte, 0, 1024+len(out.Body))
 	buffer = append(buffer, out.Method+" "+out.Target+" HTTP/1.1\r\nHost: "+out.Host+"\r\n"...)
 	for name, values := range out.Header {
--- a/backend/guard.go
+++ b/backend/guard.go
@@ -83,6 +83,8 @@
 	bytes   int64
 	line    int64
 	fields  int64
+	// received counts the bytes since the latest request.
+	received int64
 }
 
 // startHead begins a head.
@@ -94,6 +96,7 @@
 // Read implements io.Reader. The error is an *OversizeError if a limit is exceeded.
 func (g *headGuard) Read(p []byte) (int, error) {
 	n, err := g.Conn.Read(p)
+	g.received += int64(n)
 	if !g.reading || n == 0 {
 		return n, err
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,6 +77,7 @@
 		sendErr := (*backend.SendError)(nil)
 		sent := !errors.As(err, &sendErr) || sendErr.Sent
 		if sent {
+			x.chargeable = x.chargeable || sendErr == nil || !sendErr.Unbegun
 			x.attempts++
 		} else {
 			x.failedConnects++
@@ -92,7 +93,7 @@
 		in.Finish(false)
 		return x.endRefusedAttempt(placed, response)
 	}
-	x.mayHaveRun = true
+	x.mayHaveRun, x.chargeable = true, true
 	if !response.Signed {
 		in.Finish(false)
 		x.attemptEnded(placed, placement.OutcomeFailed)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,7 +58,10 @@
 	// shortage is why quota could not be reserved, nil if it could.
 	shortage *quota.Shortage
 	// mayHaveRun is set once an instance may have started to execute the request.
-	mayHaveRun     bool
+	mayHaveRun bool
+	// chargeable is set once an instance may have begun to respond. One that had sent nothing when its
+	// caller left has begun nothing.
+	chargeable     bool
 	attempts       int
 	failedConnects int
 	// retryTaken is set if the next attempt was already taken from the retry budget.
@@ -304,7 +307,7 @@
 
 // charge returns what the request costs by now.
 func (x *exchange) charge() fleet.Tokens {
-	if x.reserved == 0 || !x.mayHaveRun {
+	if x.reserved == 0 || !x.chargeable {
 		return 0
 	}
 	return min(x.request.Prompt+min(x.request.MaxOutput, fleet.Tokens(x.events)*x.tokensPerEvent()), x.reserved)
