Limits of a budget with less than 16 s left cover less than a partition

What callers saw: RECOVER. After a loss of power of all VMs 13 of 24 workspaces got 402 for good, with 9 to 20% of their totals forfeited. Cause: a limit covers a partition of 9.5 s with a margin, for each budget with more than 6 s left, and a loss of power of all forfeits what it covers. With 12 s left that is nearly all that is left. TestPowerLossOfLargeFleetForfeitsLittle: 132 to 58 and 136 to 31 per mille with 7 s left. Why it works: a workspace that runs out soon anyway loses nothing by waiting out a partition. Never overspent: limits only get lower; replicas forfeit by the limits in the changes, as before. Not whole: three of the five cases stay red, since they contradict the promise for partitions, which stands.

--- a/lease/metered.go
+++ b/lease/metered.go
@@ -37,9 +37,9 @@
 	maxHoldPerMille = 500
 	// scarceTime is the time for which a budget must last at the present rate for its
 	// limits to cover a whole partition. With less left they cover a part that falls by
-	// the fourth power: what is not spent during a partition can be spent after it, but what is
-	// forfeited is lost, and there is little else left then.
-	scarceTime = 6 * time.Second
+	// the fourth power: a workspace that runs out soon anyway spends after a partition what it could not
+	// spend during it, but what is forfeited is lost.
+	scarceTime = 16 * time.Second
 	// minBridge is the shortest time that a limit covers, the time between two reports.
 	minBridge = reportInterval
 	// slowMargin and burstMargin are the multiples of the slow and the fast average that a limit
