--- a/control/protocol.go
+++ b/control/protocol.go
@@ -135,8 +135,7 @@
 	// seen of the receiver.
 	ProvenMillis *int64 `json:"provenMillis,omitempty"`
 	Echo         int64  `json:"echo,omitempty"`
-	// ProvenAt is, on the receiver's clock, the time up to which no list that anyone has read is newer
-	// than this one, or 0 if that is not known.
+	// ProvenAt is ProvenMillis as a time since boot of the receiver, or 0 if that is not known.
 	ProvenAt time.Duration `json:"-"`
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -98,9 +98,9 @@
 	return o.table.Find(key, clock.SinceBoot())
 }
 
-// single returns the version of a service if it has had no other for a time, by a history that has all
-// lists that were read before the stream was resumed: the node that began it may have had a newer list
-// than this one. It waits for such a list.
+// single returns the version of a service if it has had no other for a time. The node that began the
+// stream may have read a newer list than this one, so it waits until the history has all lists that were
+// read before the stream was resumed.
 func (o *origins) single(ctx context.Context, service fleet.ServiceID, window, resumed, wait time.Duration) (routing.SoftwareVersion, bool) {
 	for deadline := clock.SinceBoot() + wait; ; {
 		o.mu.Lock()
--- a/origin/history.go
+++ b/origin/history.go
@@ -22,8 +22,8 @@
 	// Nothing is unknown of the time from since to last. Both are 0 before the first list.
 	since time.Duration
 	last  time.Duration
-	// provenAt is the latest time up to which no list that anyone has read lacks in the history, however
-	// late lists and reports arrived. 0 if there is none.
+	// provenAt is the time up to which the history certainly has the versions of all lists that any node
+	// has read, however late lists and reports arrived. 0 if that is not known.
 	provenAt time.Duration
 	// listedAt has the time at which each version was last in the list.
 	listedAt map[fleet.ServiceID]map[routing.SoftwareVersion]time.Duration
@@ -35,8 +35,8 @@
 	// sender knows all.
 	SinceMillis int64 `json:"sinceMillis"`
 	LastMillis  int64 `json:"lastMillis"`
-	// ProvenMillis is the age of the latest time up to which the sender certainly lacks no version. It is
-	// nil if there is none, and in reports of nodes that do not know it.
+	// ProvenMillis is the age of the time up to which the sender certainly has the versions of all lists that
+	// any node has read. It is nil if that is not known, and in reports of the build before.
 	ProvenMillis *int64    `json:"provenMillis,omitempty"`
 	Versions     []Version `json:"versions,omitempty"`
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -57,7 +57,7 @@
 	Record *Record
 	// Versions has the software versions that each of them has seen.
 	Versions []Report
-	// ProvenAt is the latest time up to which one of them certainly lacks no version, or 0.
+	// ProvenAt is the latest time since boot that the reports prove, as Report.ProvenMillis has it, or 0.
 	ProvenAt time.Duration
 }
 
