--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -123,7 +123,7 @@
 }
 
 func (w *world) free() bool {
-	for host := 1; host <= 20; host++ {
+	for host := 1; host <= 30; host++ {
 		for port := w.ports.wire; port < w.ports.wire+30; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", w.address(host), port))
 			if err != nil {
