--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Plays case 3. TROUBLE=0 plays it without the disruptions, FOREIGN=0 without the foreign entries only.
-# Exits with 1 if the rule was broken.
+# Plays case 3. TROUBLE=0 plays it without the disruptions, LISTED=1 with runners that stay on the list
+# while they are down. Exits with 1 if the rule was broken.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standin ] || exit 2
-exec review/bin/standin foreign review/3/record.txt
+exec review/bin/standin emptied review/3/record.txt
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,9 +17,12 @@
 
 // ports are the same on all VMs, which have different loopback addresses.
 type ports struct {
-	wire, front, ready, directory, control, metrics, list int
+	wire, front, ready, directory, control, list int
 }
 
+// metricsPort is the port of the metrics in the deploy file.
+const metricsPort = 9180
+
 // world is the deployment: its VMs, the list of servers and the record of what happened.
 type world struct {
 	repository string
@@ -124,7 +126,11 @@
 
 func (w *world) free() bool {
 	for host := 1; host <= 30; host++ {
+		tried := []int{metricsPort}
 		for port := w.ports.wire; port < w.ports.wire+30; port++ {
+			tried = append(tried, port)
+		}
+		for _, port := range tried {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", w.address(host), port))
 			if err != nil {
 				return false
@@ -155,7 +161,7 @@
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
 			w.mu.Lock()
-			servers := slices.Clone(w.servers)
+			servers := append([]serverEntry{}, w.servers...)
 			w.mu.Unlock()
 			rw.Header().Set("Content-Type", "application/json")
 			_ = json.NewEncoder(rw).Encode(map[string]any{
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(recordPath string, trouble bool) (broken bool, err error){
+	"emptied":  emptied,
 	"foreign":  foreign,
 	"leaders":  leaders,
 	"replaced": replaced,
