--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,10 @@
 # Plays case 1. TROUBLE=0 plays it without the disruption. Exits with 1 if the rule was broken.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standin ] || exit 2
-exec review/bin/standin leaders review/1/record.txt
+folder=$(mktemp -d) || exit 2
+TMPDIR=$folder timeout -s KILL 115 review/bin/standin leaders review/1/record.txt
+code=$?
+rm -rf "$folder"
+# Out of time: the case didn't run to its end.
+[ "$code" -eq 137 ] && exit 2
+exit "$code"
