--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +18,9 @@
 	wire, front, ready, directory, control, list int
 }
 
+// regionName is the region of all zones.
+const regionName = "region-1"
+
 // metricsPort is the port of the metrics in the deploy file.
 const metricsPort = 9180
 
@@ -37,6 +38,14 @@
 	record  *os.File
 	vms     []*vm
 	servers []serverEntry
+	// lists are the states of servers, the oldest first.
+	lists []serverList
+}
+
+// serverList is the platform's list of servers from a time on.
+type serverList struct {
+	from    time.Time
+	servers []serverEntry
 }
 
 // deployment has the sizes and bounds of a small deployment.
@@ -58,6 +67,16 @@
 
 	command *exec.Cmd
 	exited  chan struct{}
+	// startedAt and endedAt are the times of the latest start and end of its process.
+	startedAt, endedAt time.Time
+}
+
+// served reports whether the VM's process ran at a time since its latest start.
+func (v *vm) served(at time.Time) bool {
+	if v.startedAt.IsZero() || v.startedAt.After(at) {
+		return false
+	}
+	return v.command != nil || v.endedAt.After(at)
 }
 
 // serverEntry is an entry of the platform's list.
@@ -152,27 +171,6 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.started).Seconds(), fmt.Sprintf(text, arguments...))
 }
 
-// serveList serves the platform's list of servers.
-func (w *world) serveList() error {
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", w.address(250), w.ports.list))
-	if err != nil {
-		return err
-	}
-	go func() {
-		_ = http.Serve(listener, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
-			w.mu.Lock()
-			servers := append([]serverEntry{}, w.servers...)
-			w.mu.Unlock()
-			rw.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(rw).Encode(map[string]any{
-				"instances": servers,
-				"next":      nil,
-			})
-		}))
-	}()
-	return nil
-}
-
 // addVM adds a VM that has not been started.
 func (w *world) addVM(core bool) *vm {
 	w.mu.Lock()
@@ -213,12 +211,12 @@
 	}
 	zones := fields{}
 	for _, zone := range w.deploy.zones {
-		zones[zone] = "region-1"
+		zones[zone] = regionName
 	}
 	f := fields{
 		"node_name":           v.name,
 		"zone":                v.zone,
-		"region":              "region-1",
+		"region":              regionName,
 		"ip":                  v.ip,
 		"internal_port_range": []int{w.ports.wire, w.ports.wire + 15},
 		"seeds":               seeds,
@@ -280,7 +278,9 @@
 		return err
 	}
 	exited := make(chan struct{})
-	v.command, v.exited = command, exited
+	w.mu.Lock()
+	v.command, v.exited, v.startedAt = command, exited, time.Now()
+	w.mu.Unlock()
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
@@ -290,12 +290,22 @@
 	return nil
 }
 
-// signal sends a signal to the process of a VM.
-func (w *world) signal(v *vm, s syscall.Signal) {
-	if v.command != nil {
-		_ = v.command.Process.Signal(s)
-		w.note("%s gets %s", v.name, s)
+// runningCore is running for callers that don't hold mu.
+func (w *world) runningCore() []*vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running()
+}
+
+// running returns the core VMs whose processes run. The caller holds mu.
+func (w *world) running() []*vm {
+	var running []*vm
+	for _, v := range w.vms {
+		if v.core && v.command != nil {
+			running = append(running, v)
+		}
 	}
+	return running
 }
 
 // kill ends the process of a VM at once.
@@ -305,7 +315,9 @@
 	}
 	_ = v.command.Process.Kill()
 	<-v.exited
-	v.command = nil
+	w.mu.Lock()
+	v.command, v.endedAt = nil, time.Now()
+	w.mu.Unlock()
 	w.note("%s killed", v.name)
 }
 
--- a/review/testdata/standin/operator.go
+++ b/review/testdata/standin/operator.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// operator changes and reads the manifest as the pages say: it picks among the nodes that serve control,
-// moves on after a failure or a second without a response, and sends the same order again until it has a
-// clear answer.
+// operator changes and reads the manifest as the pages say: it picks among the nodes that serve control, by
+// a list that lags, follows a redirect twice, moves on after a failure or a second without a response, later
+// each time, and sends the same order again until it has a clear answer.
 type operator struct {
 	w      *world
 	client *http.Client
@@ -26,10 +26,25 @@
 		client: &http.Client{
 			Timeout:   time.Second,
 			Transport: &http.Transport{DisableKeepAlives: true},
+			CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+				if len(via) > maxRedirects {
+					return http.ErrUseLastResponse
+				}
+				return nil
+			},
 		},
 	}
 }
 
+const (
+	maxRedirects = 2
+	// seedLag is seed_lag_s of the small sites.
+	seedLag = 3 * time.Second
+	// The time between two tries doubles.
+	firstRetryDelay = 100 * time.Millisecond
+	maxRetryDelay   = time.Second
+)
+
 // manifest returns a valid manifest.
 func manifest(version int) []byte {
 	text, _ := json.Marshal(map[string]any{
@@ -68,17 +83,21 @@
 	return text
 }
 
-// nodes are the VMs that serve control at the moment, as the operator's list has them.
+// nodes are the VMs that serve control, as the operator's list has them.
 func (o *operator) nodes() []*vm {
 	o.w.mu.Lock()
 	defer o.w.mu.Unlock()
 	var nodes []*vm
+	at := time.Now().Add(-seedLag)
 	for _, v := range o.w.vms {
-		if v.core && v.command != nil {
+		if v.core && v.served(at) {
 			nodes = append(nodes, v)
 		}
 	}
-	return nodes
+	if len(nodes) > 0 {
+		return nodes
+	}
+	return o.w.running()
 }
 
 // call makes one call to the next node and returns its status, 0 without a response.
@@ -103,13 +122,12 @@
 	return response.StatusCode, text
 }
 
-const retryDelay = 200 * time.Millisecond
-
 // replace sends a manifest until it is acknowledged, for a limited time.
 func (o *operator) replace(version int, limit time.Duration) bool {
 	body := manifest(version)
 	o.w.note("operator: change to version %d", version)
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(retryDelay) {
+	delay := firstRetryDelay
+	for end := time.Now().Add(limit); time.Now().Before(end); delay = o.pause(delay) {
 		if status, _ := o.call(http.MethodPost, "/config/replace", body); status == http.StatusOK {
 			o.acknowledged = version
 			return true
@@ -118,9 +136,16 @@
 	return false
 }
 
+// pause waits before the next try and returns the time to wait after it.
+func (o *operator) pause(delay time.Duration) time.Duration {
+	time.Sleep(delay)
+	return min(2*delay, maxRetryDelay)
+}
+
 // describe reads the manifest until it comes, for a limited time. It returns 0 if it does not come.
 func (o *operator) describe(limit time.Duration) int {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(retryDelay) {
+	delay := firstRetryDelay
+	for end := time.Now().Add(limit); time.Now().Before(end); delay = o.pause(delay) {
 		status, text := o.call(http.MethodGet, "/config/describe", nil)
 		read := struct {
 			Version int `json:"version"`
--- a/review/testdata/standin/recovery.go
+++ b/review/testdata/standin/recovery.go
@@ -104,6 +104,7 @@
 		return false, fmt.Errorf("the deployment does not start")
 	}
 	time.Sleep(2 * time.Second)
+	w.checkReady(edges)
 	began := time.Now()
 	requests := startRequester(w, edges)
 	time.Sleep(calmTime)
--- a/review/testdata/standin/replaced.go
+++ b/review/testdata/standin/replaced.go
@@ -84,12 +84,12 @@
 		if !trouble {
 			continue
 		}
-		v := r.pick(w, o.nodes())
+		v := r.pick(w, w.runningCore())
 		w.kill(v)
 		w.note("%s is gone for good", v.name)
 		time.Sleep(successorDelay)
 		successor := w.addVM(true)
-		if err := w.start(successor, w.seeds(o.nodes()), false); err != nil {
+		if err := w.start(successor, w.seeds(w.runningCore()), false); err != nil {
 			return false, err
 		}
 	}
--- a/review/testdata/standin/requester.go
+++ b/review/testdata/standin/requester.go
@@ -3,20 +3,26 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
-// requester sends idempotent requests at a steady rate, each over a new channel to the next entry VM.
+// requester sends idempotent requests at a steady rate, each over a new channel to an entry VM of the
+// directory. As the map lookups of the small sites, a request is sent once more after a failure.
 type requester struct {
-	w      *world
-	client *http.Client
-	stop   chan struct{}
-	wait   sync.WaitGroup
+	w         *world
+	client    *http.Client
+	directory *directory
+	stop      chan struct{}
+	wait      sync.WaitGroup
 
-	mu      sync.Mutex
-	answers []answer
+	mu       sync.Mutex
+	answers  []answer
+	attempts int
 }
 
 // answer is what became of a request.
@@ -28,16 +34,22 @@
 const (
 	requestInterval = 50 * time.Millisecond
 	requestDeadline = 1500 * time.Millisecond
+	channelTimeout  = time.Second
+	requestRetries  = 1
 )
 
 func startRequester(w *world, edges []*vm) *requester {
+	dialer := &net.Dialer{Timeout: channelTimeout}
 	r := &requester{
 		w: w,
 		client: &http.Client{
-			Timeout:   requestDeadline,
-			Transport: &http.Transport{DisableKeepAlives: true},
+			Transport: &http.Transport{
+				DisableKeepAlives: true,
+				DialContext:       dialer.DialContext,
+			},
 		},
-		stop: make(chan struct{}),
+		directory: newDirectory(w, edges),
+		stop:      make(chan struct{}),
 	}
 	r.wait.Go(func() {
 		ticker := time.NewTicker(requestInterval)
@@ -48,30 +60,28 @@
 				return
 			case <-ticker.C:
 			}
-			edge := edges[n%len(edges)]
-			r.wait.Go(func() { r.send(n, edge) })
+			r.wait.Go(func() { r.request(n) })
 		}
 	})
 	return r
 }
 
-func (r *requester) send(n int, edge *vm) {
+// request sends a request, and again after a failure.
+func (r *requester) request(n int) {
 	sent := time.Now()
-	status, text := 0, ""
-	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/lookup/%d", edge.ip, r.w.ports.front, n), nil)
-	if err != nil {
-		return
-	}
-	request.Host = "registry.example"
-	request.Header.Set("Attempt-Id", fmt.Sprintf("%016x", n+1))
-	request.Header.Set("Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
-	request.Header.Set("Authorization", "Token key-of-keepers")
-	if response, err := r.client.Do(request); err == nil {
-		body, _ := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		status, text = response.StatusCode, string(body)
+	deadline := sent.Add(requestDeadline)
+	status, failed := 0, map[string]bool{}
+	for try := 0; try <= requestRetries; try++ {
+		address := r.directory.pick(failed)
+		retryAfter := time.Duration(0)
+		status, retryAfter = r.send(n, address, deadline)
+		if status/100 == 2 || status/100 == 4 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout {
+			break
+		}
+		failed[address] = true
+		left := time.Until(deadline)
+		time.Sleep(min(retryAfter, left/3))
 	}
-	r.w.note("request %016x to %s: %d %.60s", n+1, edge.name, status, text)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers = append(r.answers, answer{
@@ -80,6 +90,41 @@
 	})
 }
 
+// send makes one attempt. It returns the status, 0 without an answer, and when to come back.
+func (r *requester) send(n int, address string, deadline time.Time) (status int, retryAfter time.Duration) {
+	left := time.Until(deadline)
+	if address == "" || left <= 0 {
+		return 0, 0
+	}
+	r.mu.Lock()
+	r.attempts++
+	id := fmt.Sprintf("%016x", r.attempts)
+	r.mu.Unlock()
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/lookup/%d", address, n), nil)
+	if err != nil {
+		return 0, 0
+	}
+	request.Host = requestHost
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Token key-of-keepers")
+	client := *r.client
+	client.Timeout = left
+	text := ""
+	if response, err := client.Do(request); err == nil {
+		body, readErr := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if readErr == nil {
+			status, text = response.StatusCode, string(body)
+		}
+		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+			retryAfter = time.Duration(seconds * float64(time.Second))
+		}
+	}
+	r.w.note("request %d, attempt %s to %s: %d %.60s", n, id, address, status, text)
+	return status, retryAfter
+}
+
 // close stops the requests and waits for the last answers.
 func (r *requester) close() {
 	close(r.stop)
@@ -101,3 +146,20 @@
 	}
 	return sent, served
 }
+
+// anyOf returns one of the addresses, those that have failed only if there are no others.
+func anyOf(addresses []string, failed map[string]bool) string {
+	var sound []string
+	for _, a := range addresses {
+		if !failed[a] {
+			sound = append(sound, a)
+		}
+	}
+	if len(sound) == 0 {
+		sound = addresses
+	}
+	if len(sound) == 0 {
+		return ""
+	}
+	return sound[rand.IntN(len(sound))]
+}
--- a/review/testdata/standin/runner.go
+++ b/review/testdata/standin/runner.go
@@ -41,27 +41,6 @@
 	return r, nil
 }
 
-// list adds an entry to the platform's list.
-func (w *world) list(entry serverEntry) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.servers = append(w.servers, entry)
-}
-
-// unlist removes an entry from the platform's list.
-func (w *world) unlist(id string) {
-	w.mu.Lock()
-	var kept []serverEntry
-	for _, entry := range w.servers {
-		if entry.ID != id {
-			kept = append(kept, entry)
-		}
-	}
-	w.servers = kept
-	w.mu.Unlock()
-	w.note("%s has left the list", id)
-}
-
 // ServeHTTP runs a request, unless another server is expected.
 func (r *runner) ServeHTTP(rw http.ResponseWriter, request *http.Request) {
 	const work = 5 * time.Millisecond
