--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -144,7 +144,7 @@
 }
 
 func (w *world) free() bool {
-	for host := 1; host <= 30; host++ {
+	for host := 1; host <= 40; host++ {
 		tried := []int{metricsPort}
 		for port := w.ports.wire; port < w.ports.wire+30; port++ {
 			tried = append(tried, port)
--- a/review/testdata/standin/recovery.go
+++ b/review/testdata/standin/recovery.go
@@ -33,7 +33,7 @@
 // foreign has foreign entries in the list and loses one of two runners.
 func foreign(recordPath string, trouble bool) (broken bool, err error) {
 	r := recovery{
-		foreignEntries: 6,
+		foreignEntries: 14,
 		runners:        2,
 		crashes:        1,
 		listedFor:      5 * time.Second,
