--- a/review/testdata/standin/recovery.go
+++ b/review/testdata/standin/recovery.go
@@ -146,14 +146,14 @@
 	}
 }
 
-// killAll kills all processes and starts them again with their disks.
+// killAll kills all processes and starts them again with their disks. It is no longer the first start.
 func (w *world) killAll(all []*vm) error {
 	for _, v := range all {
 		w.kill(v)
 	}
 	time.Sleep(downTime)
 	for _, v := range all {
-		if err := w.run(v); err != nil {
+		if err := w.start(v, w.seeds(all), false); err != nil {
 			return err
 		}
 	}
--- a/review/testdata/standin/replaced.go
+++ b/review/testdata/standin/replaced.go
@@ -89,7 +89,7 @@
 		w.note("%s is gone for good", v.name)
 		time.Sleep(successorDelay)
 		successor := w.addVM(true)
-		if err := w.start(successor, w.seeds(w.runningCore()), false); err != nil {
+		if err := w.start(successor, w.seeds(o.nodes()), false); err != nil {
 			return false, err
 		}
 	}
--- a/review/testdata/standin/runner.go
+++ b/review/testdata/standin/runner.go
@@ -45,7 +45,17 @@
 func (r *runner) ServeHTTP(rw http.ResponseWriter, request *http.Request) {
 	const work = 5 * time.Millisecond
 	_, _ = io.Copy(io.Discard, request.Body)
-	rw.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+	if request.URL.Path == "/healthz" {
+		rw.Header().Set("Instance-Id", r.entry.ID)
+		return
+	}
+	id := request.Header.Get("Attempt-Id")
+	rw.Header().Set("Attempt-Id", id)
+	if id == "" {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if expected := request.Header.Get("Expected-Instance"); expected != "" && expected != r.entry.ID {
 		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
