--- a/control/protocol.go
+++ b/control/protocol.go
@@ -201,10 +201,13 @@
 	Stale bool `json:"stale,omitempty"`
 	// Echo is Sent of the latest heartbeat, and FreshMicros the age of the replica's latest proof
 	// that its configuration is the newest. Both are 0 in the updates of replicas that know neither.
-	Echo        int64           `json:"echo,omitempty"`
-	FreshMicros int64           `json:"freshMicros,omitempty"`
-	Delta       *catalog.Delta  `json:"delta,omitempty"`
-	Routing     *routing.Config `json:"routing,omitempty"`
+	Echo        int64 `json:"echo,omitempty"`
+	FreshMicros int64 `json:"freshMicros,omitempty"`
+	// Versions are those that the proof is about, which the node need not have yet: the response to a
+	// probe contains nothing else. It is nil in stale updates, and in those of replicas that do not send it.
+	Versions *Versions       `json:"versions,omitempty"`
+	Delta    *catalog.Delta  `json:"delta,omitempty"`
+	Routing  *routing.Config `json:"routing,omitempty"`
 	// Evacuations has the evacuated data centres. It goes to nodes that have an older list.
 	Evacuations *evacuation.List `json:"evacuations,omitempty"`
 	// Instances is the latest instance list.
--- a/control/serve.go
+++ b/control/serve.go
@@ -385,6 +385,10 @@
 		FreshMicros: (now - r.core.FreshAt(now)).Microseconds(),
 		Leader:      r.leaderAddress(),
 	}
+	if !update.Stale {
+		versions := r.machine.versions()
+		update.Versions = &versions
+	}
 	if s.probes {
 		return update
 	}
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -160,7 +160,10 @@
 	controlReachable atomic.Bool
 	// confirmedAt is the boot clock's time in nanoseconds for which the configuration was last
 	// confirmed, 0 if it never was.
-	confirmedAt        atomic.Int64
+	confirmedAt atomic.Int64
+	// behindSince is since when a replica has proved a newer configuration than the node has, on the
+	// boot clock, 0 if none has. It is owned by the goroutine that receives updates.
+	behindSince        time.Duration
 	rejected           atomic.Bool
 	heartbeatRequested chan struct{}
 
--- a/controlclient/freshness.go
+++ b/controlclient/freshness.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/control"
+	"github.com/waxwingreel/waxwingreel/event"
 )
 
 // NeverConfirmed is what Unconfirmed returns before the first confirmation.
@@ -40,3 +42,35 @@
 	}
 	return min(time.Duration(update.Echo), now) - time.Duration(update.FreshMicros)*time.Microsecond
 }
+
+// versions returns the versions of the configuration that the node uses.
+func (c *Client) versions() control.Versions {
+	return control.Versions{
+		Catalog:     c.View().Version,
+		Routing:     c.routingVersion(),
+		Evacuations: c.Evacuations().Number,
+	}
+}
+
+// compareVersions logs when an update shows that the node lacks a configuration that its replica has.
+func (c *Client) compareVersions(address netip.AddrPort, update control.Update) {
+	if update.Versions == nil {
+		return
+	}
+	own := c.versions()
+	if own.Reach(*update.Versions) {
+		c.behindSince = 0
+		return
+	}
+	if c.behindSince != 0 {
+		return
+	}
+	c.behindSince = clock.SinceBoot()
+	line := c.cfg.Log.Info(event.ConfigBehind).Str("replica", address.String())
+	if age := c.Unconfirmed(); age != NeverConfirmed {
+		line = line.Int64("unconfirmedMillis", age.Milliseconds())
+	}
+	line.Uint64("version", uint64(own.Routing)).
+		Uint64("provenVersion", uint64(update.Versions.Routing)).
+		Msg("the replica has a newer configuration than this node")
+}
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -45,6 +45,7 @@
 	// Nor may it send anything to an evacuated data centre.
 	c.applyEvacuations(update.Evacuations)
 	c.applyRouting(update)
+	c.compareVersions(address, update)
 	if !update.Stale {
 		c.confirm(freshAt(update, clock.SinceBoot()))
 	}
@@ -81,6 +82,9 @@
 		if age := c.Unconfirmed(); age != NeverConfirmed {
 			line = line.Int64("unconfirmedMillis", age.Milliseconds())
 		}
+		if c.behindSince != 0 {
+			line = line.Int64("behindMillis", (clock.SinceBoot() - c.behindSince).Milliseconds())
+		}
 		line.Uint64("version", uint64(update.Routing.Version)).
 			Int("routes", len(update.Routing.Routes)).
 			Int("workspaces", len(update.Routing.Workspaces)).
--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,7 @@
 	QuotaLost        ID = 313
 	ReplicaUnfit     ID = 314
 	EntriesSkipped   ID = 315
+	ConfigBehind     ID = 316
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
