A proof counts only for a configuration that it is about

Cause: a replica answers a probe with how old its proof is, and sends what the node lacks only after the first whole heartbeat. The node took the proof for the configuration that it had. It counted as the newest until the whole update had come, or for 2 s after the probe if the replica died first.

Fix: a proof says which versions it is about and is taken only by a node that has reached them. Versions and the moment of confirmation are one value, replaced as a whole. Replicas that do not send versions prove something only in answer to a whole heartbeat.

--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -145,10 +145,8 @@
 	quarantine     atomic.Pointer[Quarantine]
 	quarantineList atomic.Pointer[quarantine.List]
 	limits         atomic.Pointer[ratelimit.List]
-	routing        atomic.Pointer[routing.View]
-	evacuations    atomic.Pointer[evacuation.List]
+	knowledge      atomic.Pointer[knowledge]
 	replicas       atomic.Pointer[[]netip.AddrPort]
-	view           atomic.Pointer[catalog.View]
 	reports        atomic.Pointer[[]roster.Report]
 	entryNodeCount atomic.Int64
 	// upNodes are the entry nodes that are up in the latest roster. It is owned by
@@ -158,9 +156,6 @@
 	// followed is the replica of the current subscription.
 	followed         atomic.Pointer[netip.AddrPort]
 	controlReachable atomic.Bool
-	// confirmedAt is the boot clock's time in nanoseconds for which the configuration was last
-	// confirmed, 0 if it never was.
-	confirmedAt atomic.Int64
 	// behindSince is since when a replica has proved a newer configuration than the node has, on the
 	// boot clock, 0 if none has. It is owned by the goroutine that receives updates.
 	behindSince        time.Duration
@@ -187,10 +182,9 @@
 	}
 	c.holder.Store(&cfg.Holder)
 	c.replicas.Store(&cfg.Replicas)
-	c.view.Store(catalog.NewView())
 	c.reports.Store(&[]roster.Report{})
 	c.leader.Store(&netip.AddrPort{})
-	c.evacuations.Store(&evacuation.List{})
+	c.knowledge.Store(&knowledge{catalog: catalog.NewView()})
 	if cfg.Store != nil {
 		if configuration, ok := cfg.Store.Load(); ok {
 			c.applyDelta(configuration)
@@ -239,7 +233,7 @@
 	if n := c.entryNodeCount.Load(); n > 0 {
 		w.HandleEntryNodes(int(n))
 	}
-	if view := c.routing.Load(); view != nil {
+	if view := c.knowledge.Load().routing; view != nil {
 		w.HandleRouting(view)
 	}
 	if list := c.limits.Load(); list != nil {
@@ -265,7 +259,7 @@
 
 // View returns the configuration in use on this node.
 func (c *Client) View() *catalog.View {
-	return c.view.Load()
+	return c.knowledge.Load().catalog
 }
 
 // Roster returns the latest known report of each node.
@@ -297,9 +291,9 @@
 // rejects a delta that does not lead to a later version or that starts after the current
 // one.
 func (c *Client) applyDelta(delta catalog.Delta) bool {
-	next, ok := c.view.Load().With(delta)
+	next, ok := c.View().With(delta)
 	if ok {
-		c.view.Store(next)
+		c.change(func(k *knowledge) { k.catalog = next })
 	}
 	return ok
 }
--- a/controlclient/evacuation.go
+++ b/controlclient/evacuation.go
@@ -16,7 +16,7 @@
 
 // Evacuations returns the evacuated data centres.
 func (c *Client) Evacuations() evacuation.List {
-	return *c.evacuations.Load()
+	return c.knowledge.Load().evacuations
 }
 
 // Evacuate starts or stops the evacuation of a data centre and returns those that are evacuated then. It returns
@@ -46,12 +46,9 @@
 	if list == nil || list.Number <= c.Evacuations().Number {
 		return
 	}
-	c.evacuations.Store(list)
-	line := c.cfg.Log.Info(event.EvacuationInForce)
-	if age := c.Unconfirmed(); age != NeverConfirmed {
-		line = line.Int64("unconfirmedMillis", age.Milliseconds())
-	}
-	line.Uint64("number", list.Number).
+	c.change(func(k *knowledge) { k.evacuations = *list })
+	c.withAge(c.cfg.Log.Info(event.EvacuationInForce)).
+		Uint64("number", list.Number).
 		Any("evacuated", list.DataCentres).
 		Msg("list of evacuated data centres in force; their servers get no new requests")
 	if watcher := c.watcher.Load(); watcher != nil {
--- a/controlclient/silent_test.go
+++ b/controlclient/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,10 +21,10 @@
 func serveSilent(t *testing.T, node fleet.NodeID, first *control.Update, silentSince chan<- time.Time) netip.AddrPort {
 	t.Helper()
 	e := newEndpoint(t, node)
+	sent := atomic.Bool{}
 	e.HandleChannel(control.MethodSubscribe, func(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
-		if first != nil && ch.Send(*first) == nil {
+		if first != nil && !sent.Swap(true) && ch.Send(*first) == nil {
 			silentSince <- time.Now()
-			first = nil
 		}
 		<-ctx.Done()
 	})
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -99,15 +99,17 @@
 	defer cancel()
 	defer s.close()
 	c.followed.Store(&s.address)
+	wholeSince := clock.SinceBoot()
 	heartbeats.Go(func() {
 		c.sendHeartbeats(ctx, s.ch)
 		s.ch.Close()
 	})
 	f := &follower{
-		c:       c,
-		s:       s,
-		started: time.Now(),
-		known:   map[fleet.NodeID]roster.Report{},
+		c:          c,
+		s:          s,
+		started:    time.Now(),
+		wholeSince: wholeSince,
+		known:      map[fleet.NodeID]roster.Report{},
 	}
 	for _, update := range s.received {
 		f.apply(update)
@@ -120,7 +122,9 @@
 	c       *Client
 	s       *subscription
 	started time.Time
-	known   map[fleet.NodeID]roster.Report
+	// wholeSince is the boot clock before the first heartbeat that was no probe.
+	wholeSince time.Duration
+	known      map[fleet.NodeID]roster.Report
 	// staleSince is when the replica became stale, zero while it is up to date.
 	staleSince time.Time
 	// next is the search for another replica, nil while this one is up to date.
@@ -161,6 +165,7 @@
 // apply applies an update and searches another replica while this one is stale.
 func (f *follower) apply(update control.Update) {
 	f.c.applyUpdate(f.s.address, update, f.known)
+	f.c.confirm(update, f.wholeSince)
 	if !update.Stale {
 		f.staleSince = time.Time{}
 		if f.next != nil {
@@ -206,25 +211,23 @@
 
 // logLost logs the end of a subscription with what tells its causes apart.
 func (c *Client) logLost(address netip.AddrPort, started time.Time, err error) {
-	line := c.cfg.Log.Warn(event.ControlLost).
+	c.withAge(c.cfg.Log.Warn(event.ControlLost)).
 		Str("replica", address.String()).
 		Int64("lastedMillis", time.Since(started).Milliseconds()).
-		Err(err)
-	if age := c.Unconfirmed(); age != NeverConfirmed {
-		line = line.Int64("unconfirmedMillis", age.Milliseconds())
-	}
-	line.Msg("subscription ended")
+		Err(err).
+		Msg("subscription ended")
 }
 
 // heartbeat returns a heartbeat without what is sent only to the replica that the node follows.
 func (c *Client) heartbeat(probe bool) control.Heartbeat {
+	versions := c.knowledge.Load().versions()
 	report := c.cfg.Report()
-	report.Version = c.View().Version
+	report.Version = versions.Catalog
 	report.Holder = c.Holder()
 	return control.Heartbeat{
 		Report:      report,
-		Routing:     c.routingVersion(),
-		Evacuations: c.Evacuations().Number,
+		Routing:     versions.Routing,
+		Evacuations: versions.Evacuations,
 		Probe:       probe,
 		Sent:        int64(clock.SinceBoot()),
 	}
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -46,9 +46,6 @@
 	c.applyEvacuations(update.Evacuations)
 	c.applyRouting(update)
 	c.compareVersions(address, update)
-	if !update.Stale {
-		c.confirm(freshAt(update, clock.SinceBoot()))
-	}
 	if len(update.Roster) > 0 {
 		c.applyRoster(update.Roster, known)
 	}
@@ -65,10 +62,7 @@
 }
 
 func (c *Client) routingVersion() routing.Version {
-	if view := c.routing.Load(); view != nil {
-		return view.Config.Version
-	}
-	return 0
+	return c.knowledge.Load().versions().Routing
 }
 
 // applyRouting starts to use a newer routing configuration and passes it and a list of
@@ -77,11 +71,8 @@
 	watcher := c.watcher.Load()
 	if update.Routing != nil && update.Routing.Version > c.routingVersion() {
 		view := routing.NewView(*update.Routing)
-		c.routing.Store(view)
-		line := c.cfg.Log.Info(event.RoutingInForce)
-		if age := c.Unconfirmed(); age != NeverConfirmed {
-			line = line.Int64("unconfirmedMillis", age.Milliseconds())
-		}
+		c.change(func(k *knowledge) { k.routing = view })
+		line := c.withAge(c.cfg.Log.Info(event.RoutingInForce))
 		if c.behindSince != 0 {
 			line = line.Int64("behindMillis", (clock.SinceBoot() - c.behindSince).Milliseconds())
 		}
