A new leader proves nothing before it has applied what was acknowledged

In the moment in which a new leader's first entry is committed, it holds its lease but has not applied what its predecessor acknowledged. A subscriber served then, as hundreds of nodes that search are, counts its older configuration as the newest until the first whole update.

Cause: UpToDate asked a leader for its lease alone.

Fix: a leader is up to date once it has applied the first entry of its term.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -272,10 +272,10 @@
 // UpToDate reports whether the replica has a message that a leader sent within the given time while
 // it held its lease, and has applied all that the leader had committed. A replica that is
 // not up to date may be partitioned from its leader. A leader is up to date while it
-// holds its lease.
+// holds its lease, once it has applied all that leaders before it may have acknowledged.
 func (c *Core) UpToDate(now, within time.Duration) bool {
 	if c.role == RoleLeader {
-		return c.HoldsLease(now)
+		return c.HoldsLease(now) && c.applied >= c.termStart
 	}
 	return c.leader != 0 && now-c.lastFresh <= within && c.applied >= c.leaderCommit
 }
