A search asks the process that has replaced a dead one at once

What callers saw: a configuration 3.2 s late at some VMs after a kill of the whole control group, 503 for what it added and old routes meanwhile.

Cause: a node with connections to all replicas finds out that one is dead only by using it: the new process answers with a stateless reset. Each reset counted as a replica that cannot be followed, and the search went on to the next one after a pause that doubles up to 0.6 s: event 314 eight times in 2 s on these three, "received a stateless reset" each time.

Fix: a reset says that a new process is there. It is asked at once, over a new connection.

--- a/controlclient/search.go
+++ b/controlclient/search.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/event"
+	"github.com/waxwingreel/waxwingreel/wire"
 )
 
 const (
@@ -150,29 +151,38 @@
 	}
 }
 
-// probe opens a subscription and reports it once the replica is up to date. It gives a replica up
-// that sends nothing for updateTimeout or stays stale for stalePatience.
+// probe asks a replica and reports what comes of it. If only the process to which the node had a connection is
+// gone, it asks the one that has taken its place.
 func (s *search) probe(address netip.AddrPort, results chan<- probeResult) {
-	sub, err := s.c.openSubscription(s.ctx, address)
-	if err != nil {
-		s.report(results, probeResult{
-			address: address,
-			err:     err,
-		})
-		return
+	sub, err := s.ask(address, results)
+	if wire.PeerRestarted(err) {
+		sub, err = s.ask(address, results)
 	}
-	stop := context.AfterFunc(s.ctx, sub.close)
 	result := probeResult{
 		address: address,
-		err:     s.awaitFresh(sub, results),
+		s:       sub,
+		err:     err,
 	}
-	// The subscription that is found outlives the search.
-	if result.err == nil && stop() {
-		result.s = sub
+	if !s.report(results, result) && sub != nil {
+		sub.close()
 	}
-	if !s.report(results, result) || result.s == nil {
+}
+
+// ask opens a subscription and returns it once the replica is up to date. It gives a replica up
+// that sends nothing for updateTimeout or stays stale for stalePatience.
+func (s *search) ask(address netip.AddrPort, results chan<- probeResult) (*subscription, error) {
+	sub, err := s.c.openSubscription(s.ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(s.ctx, sub.close)
+	err = s.awaitFresh(sub, results)
+	// The subscription that is found outlives the search.
+	if err != nil || !stop() {
 		sub.close()
+		return nil, err
 	}
+	return sub, nil
 }
 
 // report passes a result to run and reports whether the search still goes on.
--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -142,6 +142,11 @@
 	return u, nil
 }
 
+// Address returns the address on which the fault proxy listens.
+func (u *UDP) Address() netip.AddrPort {
+	return u.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 // Close stops the fault proxy.
 func (u *UDP) Close() {
 	_ = u.socket.Close()
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -140,6 +140,13 @@
 	return errors.As(err, &idle) || errors.As(err, &application) || errors.As(err, &transport) || errors.As(err, &reset)
 }
 
+// PeerRestarted reports whether an error of a channel means that the process at its other end was replaced
+// by one that has started since. That one can be reached over a new connection.
+func PeerRestarted(err error) bool {
+	reset := (*quic.StatelessResetError)(nil)
+	return errors.As(err, &reset)
+}
+
 func (e *Endpoint) openOn(ctx context.Context, p *peer, conn *quic.Conn, method Method) (*countedStream, error) {
 	address := p.address
 	stream, err := conn.OpenStreamSync(ctx)
