A change of the routing configuration is sent alone

Each change carried the whole configuration to each node.

Cause: subscribers were sent routing.Config whatever they had.

Nodes say whether they read deltas, so that builds before get whole configurations. A delta is right for any version between its two ends: a node may have got a later one from another replica.

--- a/control/protocol.go
+++ b/control/protocol.go
@@ -176,6 +176,8 @@
 	// Probe is set while the node only asks whether the replica is up to date. The replica sends
 	// nothing else until a heartbeat without it, and does not count the node as alive by it.
 	Probe bool `json:"probe,omitempty"`
+	// RoutingDeltas is set by nodes that read Update.RoutingDelta.
+	RoutingDeltas bool `json:"routingDeltas,omitempty"`
 	// Sent is the node's boot clock when it sent the heartbeat, in nanoseconds. Updates repeat it.
 	Sent int64 `json:"sent,omitempty"`
 	// Evidence is what the node has newly observed of parts of prompts. The first heartbeat of a
@@ -208,6 +210,9 @@
 	Versions *Versions       `json:"versions,omitempty"`
 	Delta    *catalog.Delta  `json:"delta,omitempty"`
 	Routing  *routing.Config `json:"routing,omitempty"`
+	// RoutingDelta is what has changed of the routing configuration. It is sent in place of Routing to a node
+	// that has an earlier one, if the replica knows the changes since.
+	RoutingDelta *routing.Delta `json:"routingDelta,omitempty"`
 	// Evacuations has the evacuated data centres. It goes to nodes that have an older list.
 	Evacuations *evacuation.List `json:"evacuations,omitempty"`
 	// Instances is the latest instance list.
--- a/control/serve.go
+++ b/control/serve.go
@@ -174,6 +174,8 @@
 	notify         chan struct{}
 	catalogVersion fleet.Version
 	routingVersion routing.Version
+	// routingDeltas is whether the node takes changes of the routing configuration alone.
+	routingDeltas bool
 	// evacuations is the number of the list of evacuated data centres that was last sent.
 	evacuations uint64
 	// instancesNumber is the number of the instance list that was last sent.
@@ -210,6 +212,7 @@
 		notify:         make(chan struct{}, 1),
 		catalogVersion: first.Report.Version,
 		routingVersion: first.Routing,
+		routingDeltas:  first.RoutingDeltas,
 		evacuations:    first.Evacuations,
 		recalls:        make(chan []ledger.Recall, 64),
 		sendFull:       true,
@@ -344,6 +347,9 @@
 		if update.Routing != nil {
 			s.routingVersion = update.Routing.Version
 		}
+		if update.RoutingDelta != nil {
+			s.routingVersion = update.RoutingDelta.To
+		}
 		if update.Evacuations != nil {
 			s.evacuations = update.Evacuations.Number
 		}
@@ -398,10 +404,8 @@
 		delta := r.machine.catalog.Since(s.catalogVersion)
 		update.Delta = &delta
 	}
-	if c := r.machine.routing.Config; !update.Stale && c.Version > s.routingVersion {
-		update.Routing = &c
-	}
 	if !update.Stale {
+		update.Routing, update.RoutingDelta = r.newerRouting(s)
 		update.Evacuations = r.newerEvacuations(s)
 	}
 	update.Instances, s.instancesNumber = r.instancesSince(s.instancesNumber, now)
@@ -422,6 +426,21 @@
 	return update
 }
 
+// newerRouting returns the routing configuration if the subscriber has an earlier one, or only what changed
+// since that one.
+func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
+	c := r.machine.routing.Config
+	if c.Version <= s.routingVersion {
+		return nil, nil
+	}
+	if s.routingDeltas {
+		if delta, ok := r.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
+			return nil, &delta
+		}
+	}
+	return &c, nil
+}
+
 // staleFor reports whether this replica's configuration may be outdated. It certainly is if
 // another replica has sent the subscriber a later one.
 func (r *Replica) staleFor(s *subscriber, now time.Duration) bool {
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -229,7 +229,9 @@
 		Routing:     versions.Routing,
 		Evacuations: versions.Evacuations,
 		Probe:       probe,
-		Sent:        int64(clock.SinceBoot()),
+
+		RoutingDeltas: true,
+		Sent:          int64(clock.SinceBoot()),
 	}
 }
 
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -69,16 +69,16 @@
 // instances to the watcher.
 func (c *Client) applyRouting(update control.Update) {
 	watcher := c.watcher.Load()
-	if update.Routing != nil && update.Routing.Version > c.routingVersion() {
-		view := routing.NewView(*update.Routing)
+	if config, ok := c.newerRouting(update); ok {
+		view := routing.NewView(config)
 		c.change(func(k *knowledge) { k.routing = view })
 		line := c.withAge(c.cfg.Log.Info(event.RoutingInForce))
 		if c.behindSince != 0 {
 			line = line.Int64("behindMillis", (clock.SinceBoot() - c.behindSince).Milliseconds())
 		}
-		line.Uint64("version", uint64(update.Routing.Version)).
-			Int("routes", len(update.Routing.Routes)).
-			Int("workspaces", len(update.Routing.Workspaces)).
+		line.Uint64("version", uint64(config.Version)).
+			Int("routes", len(config.Routes)).
+			Int("workspaces", len(config.Workspaces)).
 			Msg("configuration of routed requests in force")
 		if watcher != nil {
 			(*watcher).HandleRouting(view)
@@ -94,6 +94,18 @@
 	}
 }
 
+// newerRouting returns the routing configuration that an update leads to, if that is newer than the node's.
+func (c *Client) newerRouting(update control.Update) (routing.Config, bool) {
+	if update.Routing != nil {
+		return *update.Routing, update.Routing.Version > c.routingVersion()
+	}
+	view := c.knowledge.Load().routing
+	if update.RoutingDelta == nil || view == nil {
+		return routing.Config{}, false
+	}
+	return view.Config.With(*update.RoutingDelta)
+}
+
 // storeConfiguration stores the current configuration and sends a heartbeat, which reports
 // its version.
 func (c *Client) storeConfiguration() {
