--- a/control/serve.go
+++ b/control/serve.go
@@ -426,21 +426,6 @@
 	return update
 }
 
-// newerRouting returns the routing configuration if the subscriber has an earlier one, or only what changed
-// since that one.
-func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
-	c := r.machine.routing.Config
-	if c.Version <= s.routingVersion {
-		return nil, nil
-	}
-	if s.routingDeltas {
-		if delta, ok := r.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
-			return nil, &delta
-		}
-	}
-	return &c, nil
-}
-
 // staleFor reports whether this replica's configuration may be outdated. It certainly is if
 // another replica has sent the subscriber a later one.
 func (r *Replica) staleFor(s *subscriber, now time.Duration) bool {
--- a/control/versions.go
+++ b/control/versions.go
@@ -25,3 +25,18 @@
 		Evacuations: m.evacuations.List.Number,
 	}
 }
+
+// newerRouting returns the routing configuration if the subscriber has an earlier one, or only what changed
+// since that one.
+func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
+	c := r.machine.routing.Config
+	if c.Version <= s.routingVersion {
+		return nil, nil
+	}
+	if s.routingDeltas {
+		if delta, ok := r.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
+			return nil, &delta
+		}
+	}
+	return &c, nil
+}
--- a/controlclient/restart_test.go
+++ b/controlclient/restart_test.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/control"
-	"github.com/waxwingreel/waxwingreel/event"
 	"github.com/waxwingreel/waxwingreel/faultproxy"
 	"github.com/waxwingreel/waxwingreel/fleet"
-	"github.com/waxwingreel/waxwingreel/roster"
 	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
@@ -90,14 +87,7 @@
 		r := startRestartable(t, network, fmt.Sprintf("c%d", i))
 		group, addresses = append(group, r), append(addresses, r.proxy)
 	}
-	c := New(Config{
-		Holder:   fleet.Holder{Node: "entry"},
-		Endpoint: newEndpoint(t, "entry"),
-		Replicas: addresses,
-		Report:   func() roster.Report { return roster.Report{} },
-		Log:      event.New(io.Discard, "entry"),
-	})
-	t.Cleanup(c.Close)
+	c := newTestClient(t, addresses...)
 	for _, address := range addresses {
 		ch, err := c.cfg.Endpoint.Open(t.Context(), address, control.MethodSubscribe)
 		if err != nil {
