Logs say by which configuration a relayed request was decided, and what content a version has

Event 510 names the VM that asked, its version, the relay's own and for how long the relay held the request; 405 and 408 name the relay; 305 has a digest of the content, kept up by deltas at the cost of their size; 509 tells refused connects from unanswered ones. No decision depends on any of it.

--- a/backend/crash.go
+++ b/backend/crash.go
@@ -13,15 +13,31 @@
 // does not respond at all is no evidence of a crash.
 const crashCheckTimeout = 150 * time.Millisecond
 
-// Reachable reports whether a connection to an address can be opened within a time.
-func Reachable(ctx context.Context, address netip.AddrPort, timeout time.Duration) bool {
+// Reachability is what a connect tells of the path to a server.
+type Reachability int
+
+const (
+	// Reached means that the server's machine accepted the connection.
+	Reached Reachability = iota
+	// Unanswered means that no answer came in time.
+	Unanswered
+	// Unreachable means that the connection was refused, or that no path is known.
+	Unreachable
+)
+
+// Reach tries to open a connection to an address within a time.
+func Reach(ctx context.Context, address netip.AddrPort, timeout time.Duration) Reachability {
 	dialer := &net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return false
+	timedOut := net.Error(nil)
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return Reached
+	case errors.As(err, &timedOut) && timedOut.Timeout():
+		return Unanswered
 	}
-	_ = conn.Close()
-	return true
+	return Unreachable
 }
 
 // Gone reports whether nothing listens at an address any more. A server that has closed a connection
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -69,8 +69,8 @@
 // instances to the watcher.
 func (c *Client) applyRouting(update control.Update) {
 	watcher := c.watcher.Load()
-	if config, ok := c.newerRouting(update); ok {
-		view := routing.NewView(config)
+	if view, ok := c.newerRouting(update); ok {
+		config := view.Config
 		c.change(func(k *knowledge) { k.routing = view })
 		line := c.withAge(c.cfg.Log.Info(event.RoutingInForce))
 		if c.behindSince != 0 {
@@ -79,6 +79,7 @@
 		line.Uint64("version", uint64(config.Version)).
 			Int("routes", len(config.Routes)).
 			Int("workspaces", len(config.Workspaces)).
+			Str("digest", view.Digest.String()).
 			Msg("configuration of routed requests in force")
 		if watcher != nil {
 			(*watcher).HandleRouting(view)
@@ -95,15 +96,15 @@
 }
 
 // newerRouting returns the routing configuration that an update leads to, if that is newer than the node's.
-func (c *Client) newerRouting(update control.Update) (routing.Config, bool) {
-	if update.Routing != nil {
-		return *update.Routing, update.Routing.Version > c.routingVersion()
-	}
+func (c *Client) newerRouting(update control.Update) (*routing.View, bool) {
 	view := c.knowledge.Load().routing
-	if update.RoutingDelta == nil || view == nil {
-		return routing.Config{}, false
+	switch {
+	case update.Routing != nil && update.Routing.Version > c.routingVersion():
+		return routing.NewView(*update.Routing), true
+	case update.RoutingDelta != nil && view != nil:
+		return view.With(*update.RoutingDelta)
 	}
-	return view.Config.With(*update.RoutingDelta)
+	return view, false
 }
 
 // storeConfiguration stores the current configuration and sends a heartbeat, which reports
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -66,7 +66,7 @@
 	defer stopTimer()
 	x.lastInstance = placed.Instance.ID
 	x.responseBegun = false
-	x.relayed = false
+	x.relayed, x.relayedBy = false, ""
 	x.unfinishedBytes = 0
 	x.eventsBefore = x.events
 	out := x.outgoingRequest(placed.Instance)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -80,8 +80,9 @@
 	counted        bool
 	permitted      bool
 	permitsRefused int
-	// relayed is set if the current attempt went through another node.
-	relayed bool
+	// relayed is set if the current attempt went through another node, relayedBy is the last one that was asked.
+	relayed   bool
+	relayedBy fleet.NodeID
 	// lastOnConnection is set if the caller must open another connection after this
 	// request.
 	lastOnConnection bool
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -270,6 +270,7 @@
 		Str("identity", string(x.identity)).
 		Str("instance", string(p.Instance.ID)).
 		Str("outcome", string(causeOf(result))).
+		Str("relayedBy", string(x.relayedBy)).
 		Int("attempts", x.attempts).
 		Int64("leftMillis", (x.deadline-clock.SinceBoot()).Milliseconds()).
 		Str("framing", string(x.framing)).
@@ -324,6 +325,7 @@
 		Str("cause", string(x.cause)).
 		Str("identity", string(x.identity)).
 		Str("instance", string(x.lastInstance)).
+		Str("relayedBy", string(x.relayedBy)).
 		Int("attempts", x.attempts).
 		Int("connects", x.failedConnects).
 		Int("events", x.events).
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -113,7 +113,7 @@
 	instances := p.mayProbe()
 	if len(instances) == 0 {
 		p.detector.Reset()
-		p.stateChanged(0, 0)
+		p.stateChanged(isolation.Round{})
 		return
 	}
 	if !p.detector.StartRound(clock.SinceBoot()) {
@@ -149,20 +149,23 @@
 
 // probe connects to instances and ends the round.
 func (p *paths) probe(instances []routing.Instance) {
-	reached := make([]bool, len(instances))
+	found := make([]backend.Reachability, len(instances))
 	probes := sync.WaitGroup{}
 	for n, i := range instances {
-		probes.Go(func() { reached[n] = backend.Reachable(p.ctx, i.Address, isolation.ProbeTimeout) })
+		probes.Go(func() { found[n] = backend.Reach(p.ctx, i.Address, isolation.ProbeTimeout) })
 	}
 	probes.Wait()
 	round := isolation.Round{Alone: p.alone()}
 	var failed []fleet.BackendServerID
 	for n, i := range instances {
-		if reached[n] {
+		if found[n] == backend.Reached {
 			round.Connected++
-		} else {
-			round.Failed++
-			failed = append(failed, i.ID)
+			continue
+		}
+		round.Failed++
+		failed = append(failed, i.ID)
+		if found[n] == backend.Unanswered {
+			round.Unanswered++
 		}
 	}
 	p.endRound(round, failed)
@@ -185,7 +188,7 @@
 	}
 	round.Untried = len(p.unreached) < min(len(p.mayProbe()), isolation.TriedAlone)
 	p.detector.EndRound(round, clock.SinceBoot())
-	p.stateChanged(round.Connected, round.Failed)
+	p.stateChanged(round)
 	if p.detector.Isolated() {
 		time.AfterFunc(isolation.RoundInterval, p.recheck)
 		p.stillIsolated()
@@ -193,7 +196,7 @@
 }
 
 // stateChanged makes a change of the detector known. The caller holds mu.
-func (p *paths) stateChanged(connected, failed int) {
+func (p *paths) stateChanged(round isolation.Round) {
 	isolated := p.detector.Isolated()
 	if p.isolated.Swap(isolated) == isolated {
 		return
@@ -204,8 +207,9 @@
 	}
 	p.cfg.Log.Warn(event.NodeIsolated).
 		Str("state", state).
-		Int("connected", connected).
-		Int("failed", failed).
+		Int("connected", round.Connected).
+		Int("failed", round.Failed).
+		Int("unanswered", round.Unanswered).
 		Int("listed", len(p.instances)).
 		Msg("this node is cut off from the instances, or no longer; requests go through other nodes meanwhile")
 	p.cfg.Control.SendHeartbeat()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,6 +36,8 @@
 
 // RelayRequest is a request to an instance.
 type RelayRequest struct {
+	// Version is that of the configuration by which the request was decided.
+	Version    routing.Version       `json:"version,omitempty"`
 	Request    routing.RequestID     `json:"request"`
 	Instance   fleet.BackendServerID `json:"instance"`
 	Born       int64                 `json:"born,omitempty"`
@@ -137,6 +139,7 @@
 		return nil, &backend.SendError{Err: eris.Wrapf(backend.ErrRevoked, "relay to %s", out.Instance.ID)}
 	}
 	request := RelayRequest{
+		Version:       x.view.Config.Version,
 		Request:       x.request.ID,
 		Instance:      out.Instance.ID,
 		Born:          placed.Instance.Born,
@@ -153,6 +156,7 @@
 	for _, relay := range x.s.peers.relays(x.s.cfg.DataCentre, maxRelays) {
 		in, refusal, err := x.relay(ctx, relay, request)
 		x.countRelay(refusal, err)
+		x.relayedBy = relay.node
 		if refusal == "" {
 			return in, err
 		}
--- a/gateway/relaying.go
+++ b/gateway/relaying.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/waxwingreel/waxwingreel/backend"
@@ -32,9 +33,11 @@
 	buffers := intake.Allocation{Room: s.cfg.Room}
 	defer buffers.Release()
 	r := relaying{
-		s:       s,
-		request: request,
-		ch:      ch,
+		s:        s,
+		from:     from,
+		request:  request,
+		received: clock.SinceBoot(),
+		ch:       ch,
 	}
 	if s.draining.Load() || !s.places.take() {
 		r.refuse(RelayBusy)
@@ -58,14 +61,32 @@
 // relaying is a request that this node sends for another one.
 type relaying struct {
 	s       *Server
+	from    fleet.NodeID
 	request RelayRequest
-	ch      *wire.Channel
+	// received is when the request came, on the boot clock.
+	received time.Duration
+	ch       *wire.Channel
 }
 
-func (r *relaying) refuse(refusal RelayRefusal) {
-	r.s.cfg.Log.Info(event.RequestRelayed).
+// line returns a line of event.RequestRelayed.
+func (r *relaying) line() *log.Entry {
+	own := uint64(0)
+	if view := r.s.view.Load(); view != nil {
+		own = uint64(view.Config.Version)
+	}
+	return r.s.cfg.Log.Info(event.RequestRelayed).
 		Str("request", string(r.request.Request)).
 		Str("instance", string(r.request.Instance)).
+		Str("from", string(r.from)).
+		Uint64("version", uint64(r.request.Version)).
+		Uint64("ownVersion", own).
+		Int64("unconfirmedMillis", r.s.cfg.Control.Unconfirmed().Milliseconds()).
+		Int64("heldMillis", (clock.SinceBoot()-r.received).Milliseconds()).
+		Int64("timeoutMillis", r.request.TimeoutMillis)
+}
+
+func (r *relaying) refuse(refusal RelayRefusal) {
+	r.line().
 		Str("refusal", string(refusal)).
 		Msg("request of another node was not relayed")
 	_ = r.ch.Send(RelayResponse{Refusal: refusal})
@@ -99,9 +120,7 @@
 		return
 	}
 	s.dispatch.responseRead(instance.Service, placed, s.cfg.Protocol.ReadResponse(in.Status, in.Header))
-	s.cfg.Log.Info(event.RequestRelayed).
-		Str("request", string(r.request.Request)).
-		Str("instance", string(r.request.Instance)).
+	r.line().
 		Int("status", in.Status).
 		Msg("relays the response to a request of another node")
 	err = r.ch.Send(RelayResponse{
--- a/isolation/isolation.go
+++ b/isolation/isolation.go
@@ -47,7 +47,9 @@
 // Round is what a round of probes has found.
 type Round struct {
 	Connected int
-	Failed    int
+	// Failed counts the probes that opened no connection, Unanswered those among them that got no answer in time.
+	Failed     int
+	Unanswered int
 	// Alone is set if no other node sends this node's requests, Untried if too few servers have failed since the
 	// latest connect, see TriedAlone.
 	Alone   bool
--- a/routing/view.go
+++ b/routing/view.go
@@ -11,6 +11,7 @@
 // View is an index of one configuration. It is immutable and safe for concurrent use.
 type View struct {
 	Config Config
+	Digest Digest
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts    map[string][]*Route
 	services map[fleet.ServiceID]*Service
@@ -20,8 +21,22 @@
 
 // NewView indexes a configuration that passed Check.
 func NewView(c Config) *View {
+	return newView(c, c.Digest())
+}
+
+// With returns the view of the configuration with a delta applied. It returns false if Config.With does.
+func (v *View) With(d Delta) (*View, bool) {
+	next, ok := v.Config.With(d)
+	if !ok {
+		return v, false
+	}
+	return newView(next, d.digestAfter(v.Config, v.Digest)), true
+}
+
+func newView(c Config, digest Digest) *View {
 	v := &View{
 		Config:     c,
+		Digest:     digest,
 		hosts:      map[string][]*Route{},
 		services:   map[fleet.ServiceID]*Service{},
 		workspaces: map[string]*Workspace{},
