--- /dev/null
+++ b/gateway/outdated_test.go
@@ -0,0 +1,171 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/waxwingreel/waxwingreel/faultproxy"
+	"github.com/waxwingreel/waxwingreel/routing"
+)
+
+// changedRouting returns version 2 of isolatedRouting, with a change.
+func changedRouting(change func(*routing.Config)) *routing.View {
+	config := isolatedRouting().Config
+	config.Version = 2
+	config.Services = append(config.Services, routing.Service{ID: "s2"})
+	change(&config)
+	return routing.NewView(config)
+}
+
+// changes are those of a configuration that forbid what the one before allows.
+var changes = map[string]func(*routing.Config){
+	"routes are gone": func(c *routing.Config) { c.Routes = nil },
+	"routes lead to another service": func(c *routing.Config) {
+		for i := range c.Routes {
+			c.Routes[i].Targets = []routing.Target{{
+				Service: "s2",
+				Weight:  1,
+			}}
+		}
+	},
+	"the service has no weight": func(c *routing.Config) {
+		for i := range c.Routes {
+			c.Routes[i].Targets = []routing.Target{{
+				Service: "s2",
+				Weight:  1,
+			}, {
+				Service: "s",
+			}}
+		}
+	},
+	"keys are needed": func(c *routing.Config) {
+		c.Workspaces = []routing.Workspace{{
+			ID:   "w",
+			Keys: []string{"k"},
+		}}
+	},
+}
+
+// TestRelayRunsByOldConfiguration sends requests to a node that is cut off and has an old configuration, while the node
+// that relays for it has the newest one. Guards against requests that run although the node that sends them knows that they
+// are forbidden.
+func TestRelayRunsByOldConfiguration(t *testing.T) {
+	for name, change := range changes {
+		for _, cut := range []string{cutRefuse, cutHang} {
+			t.Run(name+", "+cut, func(t *testing.T) {
+				t.Parallel()
+				f := newIsolatedFleet(t, 2)
+				f.isolate(0)
+				f.cut(0, cut)
+				f.servers[1].HandleRouting(changedRouting(change))
+				for i := range 9 {
+					route := []string{"/repeat/", "/once/", "/stream/"}[i%3]
+					id := fmt.Sprintf("changed-%d", i)
+					if got, want := f.send(0, route, id), http.StatusServiceUnavailable; got != want {
+						t.Errorf("%s: got status %d, want %d", route, got, want)
+					}
+					f.instances.mu.Lock()
+					if f.instances.runs[id] > 0 {
+						t.Errorf("%s: the request has run, want it refused", route)
+					}
+					f.instances.mu.Unlock()
+				}
+			})
+		}
+	}
+}
+
+// newSlowPeer puts a proxy before a node, through which the others reach it. It returns a function that sets the delay in
+// each direction.
+func (f *isolatedFleet) newSlowPeer(node int) (setDelay func(time.Duration)) {
+	f.t.Helper()
+	network := faultproxy.NewNetwork(1)
+	proxy, err := faultproxy.NewUDP(network, "peer", netip.MustParseAddrPort("127.0.0.1:0"), f.endpoints[node].Address())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(proxy.Close)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports[:0:0], f.reports...)
+	f.reports[node].WireAddress = proxy.Address()
+	return func(delay time.Duration) { network.SetDefaultFaults(faultproxy.Faults{Delay: delay}) }
+}
+
+// TestRelayedRequestRunsAfterItsDeadline relays requests over a link on which each packet takes longer than they have time.
+// Guards against requests that run for callers whose deadline has passed, as the time on the way was not counted.
+func TestRelayedRequestRunsAfterItsDeadline(t *testing.T) {
+	f := newIsolatedFleet(t, 2)
+	setDelay := f.newSlowPeer(1)
+	f.isolate(0)
+	if got, want := f.send(0, "/repeat/", "before"), http.StatusOK; got != want {
+		t.Fatalf("got status %d over a fast link, want %d", got, want)
+	}
+	setDelay(1700 * time.Millisecond)
+	for i := range 3 {
+		f.send(0, "/repeat/", fmt.Sprint("late-", i))
+	}
+	time.Sleep(2 * time.Second)
+	f.instances.mu.Lock()
+	defer f.instances.mu.Unlock()
+	for id := range f.instances.runs {
+		if strings.HasPrefix(id, "late-") {
+			t.Errorf("request %s has run, want none after its deadline", id)
+		}
+	}
+}
+
+// TestSlowNodeTakesItselfForCutOff keeps a stream going to a node whose connects and whose calls to other nodes all take too
+// long, as on a full link or a busy processor. Guards against requests that go twice over a full link, through nodes that
+// are no nearer than the servers.
+func TestSlowNodeTakesItselfForCutOff(t *testing.T) {
+	f := newIsolatedFleet(t, 2)
+	setDelay := f.newSlowPeer(1)
+	streaming := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Instance-Signature", "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 100 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}))
+	defer streaming.Close()
+	p := newPath(t, netip.MustParseAddrPort(streaming.Listener.Addr().String()))
+	list := []routing.Instance{{
+		ID:      "i0",
+		Service: "s",
+		Address: p.address,
+		Slots:   8,
+	}}
+	f.servers[0].SetInstances(list)
+	view := isolatedRouting()
+	for i := range view.Config.Routes {
+		view.Config.Routes[i].Timeout = 5 * time.Second
+	}
+	f.servers[0].HandleRouting(routing.NewView(view.Config))
+	status := make(chan int, 1)
+	go func() { status <- f.send(0, "/stream/", "goes-on") }()
+	time.Sleep(200 * time.Millisecond)
+	p.cut(cutHangNew)
+	setDelay(900 * time.Millisecond)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		go f.send(0, "/repeat/", fmt.Sprint("slow-", time.Now().UnixNano()))
+		if f.servers[0].Isolated() {
+			t.Fatal("the node counts as cut off, although the stream goes on")
+		}
+	}
+	p.heal()
+	setDelay(0)
+	if got, want := <-status, http.StatusOK; got != want {
+		t.Errorf("got status %d of the stream, want %d", got, want)
+	}
+}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -38,6 +38,8 @@
 	cutRefuseNew = "refuseNew"
 	// cutHang forwards nothing, and new connections are neither accepted nor refused.
 	cutHang = "hang"
+	// cutHangNew neither accepts nor refuses new connections and forwards the data of those that are open.
+	cutHangNew = "hangNew"
 )
 
 func newPath(t *testing.T, target netip.AddrPort) *path {
@@ -110,6 +112,8 @@
 			_ = c.Close()
 		}
 	case cutRefuseNew:
+	case cutHangNew:
+		p.hang()
 	case cutHang:
 		p.silent = true
 		p.hang()
