A control replica records each version of the routing configuration for deltas

Cause: Replica.apply told the history only of the last configuration of a run of entries, and History.Since answered for versions that it had never been told of. A part that came and went within one run was in no delta. Such runs are long where a replica restarts, wakes or catches up.

The history is now part of the state machine and advances where the configuration is replaced, and answers only for versions that it was told of; a node with another one gets the whole configuration.

--- a/control/applied_test.go
+++ b/control/applied_test.go
@@ -44,7 +44,6 @@
 	for i := range l.replicas {
 		l.replicas[i], _ = newLoneLeader(t)
 		l.replicas[i].cfg.Log = event.New(io.Discard, "r")
-		l.replicas[i].routingHistory = routing.NewHistory(routing.Config{})
 	}
 	return l
 }
@@ -100,7 +99,6 @@
 	if r.machine, err = stateMachineFromSnapshot(data); err != nil {
 		t.Fatal(err)
 	}
-	r.routingHistory = routing.NewHistory(r.machine.routing.Config)
 }
 
 // update sends a node what a replica has newer.
--- a/control/delta_test.go
+++ b/control/delta_test.go
@@ -20,17 +20,15 @@
 			Prefix: fmt.Sprintf("/%d", i),
 		})
 	}
-	r := &Replica{
-		machine:        newStateMachine(),
-		routingHistory: routing.NewHistory(config),
-	}
+	r := &Replica{machine: newStateMachine()}
+	r.machine.routingHistory = routing.NewHistory(config)
 	for version := routing.Version(2); version < 5; version++ {
 		config.Version = version
 		config.Routes = append(config.Routes, routing.Route{
 			Host:   "host",
 			Prefix: fmt.Sprintf("/added/%d", version),
 		})
-		r.routingHistory.Advance(config)
+		r.machine.routingHistory.Advance(config)
 	}
 	r.machine.routing.Config = config
 	for _, test := range []struct {
--- a/control/machine.go
+++ b/control/machine.go
@@ -10,6 +10,7 @@
 	"github.com/waxwingreel/waxwingreel/evacuation"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/ledger"
+	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -19,15 +20,18 @@
 	catalog *catalog.State
 	ledger  *ledger.State
 	// routing is the routing configuration. Version 0 means none.
-	routing     Configuration
-	evacuations evacuation.State
-	commands    uint64
+	routing Configuration
+	// routingHistory has each configuration that was applied since the snapshot that was last read.
+	routingHistory *routing.History
+	evacuations    evacuation.State
+	commands       uint64
 }
 
 func newStateMachine() *stateMachine {
 	return &stateMachine{
-		catalog: catalog.New(),
-		ledger:  ledger.New(),
+		catalog:        catalog.New(),
+		ledger:         ledger.New(),
+		routingHistory: routing.NewHistory(routing.Config{}),
 	}
 }
 
@@ -94,6 +98,7 @@
 		return
 	}
 	m.routing = c
+	m.routingHistory.Advance(c.Config)
 	effect.routing = true
 	for _, w := range c.Config.Workspaces {
 		if w.Prepaid == nil {
@@ -184,11 +189,12 @@
 		return nil, eris.Wrap(err, "control: decode the state machine from a snapshot")
 	}
 	return &stateMachine{
-		catalog:     catalog.FromImage(i.Catalog),
-		ledger:      ledger.FromImage(i.Ledger),
-		commands:    i.Commands,
-		routing:     i.Routing,
-		evacuations: i.Evacuations,
+		catalog:        catalog.FromImage(i.Catalog),
+		ledger:         ledger.FromImage(i.Ledger),
+		commands:       i.Commands,
+		routing:        i.Routing,
+		routingHistory: routing.NewHistory(i.Routing.Config),
+		evacuations:    i.Evacuations,
 	}, nil
 }
 
--- a/control/replica.go
+++ b/control/replica.go
@@ -18,7 +18,6 @@
 	"github.com/waxwingreel/waxwingreel/quarantine"
 	"github.com/waxwingreel/waxwingreel/ratelimit"
 	"github.com/waxwingreel/waxwingreel/roster"
-	"github.com/waxwingreel/waxwingreel/routing"
 	"github.com/waxwingreel/waxwingreel/wire"
 )
 
@@ -98,8 +97,6 @@
 	machine *stateMachine
 	applied consensus.Index
 	table   *roster.Table
-	// routingHistory has the changes of the routing configuration since the snapshot that was last read.
-	routingHistory *routing.History
 	// quarantine judges the parts of prompts on which engines have crashed.
 	quarantine quarantine.Table
 	// limits has what entry nodes know of the limits of instances.
@@ -223,7 +220,6 @@
 			Now:               now,
 		}),
 		machine:         restored,
-		routingHistory:  routing.NewHistory(restored.routing.Config),
 		applied:         contents.Snapshot.Index,
 		table:           roster.New(),
 		peers:           map[fleet.NodeID]Announcement{},
@@ -324,7 +320,6 @@
 		return err
 	}
 	r.machine = restored
-	r.routingHistory = routing.NewHistory(restored.routing.Config)
 	r.applied = out.Snapshot.Index
 	r.cfg.Log.Info(event.SnapshotInstalled).
 		Uint64("index", uint64(r.applied)).
--- a/control/submit.go
+++ b/control/submit.go
@@ -47,9 +47,6 @@
 		}
 		r.respond(entry, result)
 	}
-	if all.routing {
-		r.routingHistory.Advance(r.machine.routing.Config)
-	}
 	if all.any() {
 		r.notify(all)
 	}
--- a/control/versions.go
+++ b/control/versions.go
@@ -34,7 +34,7 @@
 		return nil, nil
 	}
 	if s.routingDeltas {
-		if delta, ok := r.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
+		if delta, ok := r.machine.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
 			return nil, &delta
 		}
 	}
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -91,12 +91,16 @@
 	return next
 }
 
+// maxVersions bounds the versions that a History keeps.
+const maxVersions = 4096
+
 // History knows at which version each part of the current configuration last changed, so that what changed since an
-// earlier version can be sent alone. It is not safe for concurrent use.
+// earlier version can be sent alone. It has to be told of each configuration: what came and went between two that it knows
+// is in neither. It is not safe for concurrent use.
 type History struct {
 	current Config
-	// from is the earliest version from which the changes are known.
-	from       Version
+	// versions are those since which the changes are known, in ascending order.
+	versions   []Version
 	routes     changeTimes[Match, Route]
 	services   changeTimes[fleet.ServiceID, Service]
 	workspaces changeTimes[fleet.WorkspaceID, Workspace]
@@ -108,7 +112,7 @@
 func NewHistory(c Config) *History {
 	return &History{
 		current:    c,
-		from:       c.Version,
+		versions:   []Version{c.Version},
 		routes:     newChangeTimes(Route.match),
 		services:   newChangeTimes(Service.id),
 		workspaces: newChangeTimes(Workspace.id),
@@ -122,6 +126,10 @@
 	h.services.advance(h.current.Services, next.Services, next.Version)
 	h.workspaces.advance(h.current.Workspaces, next.Workspaces, next.Version)
 	h.current = next
+	h.versions = append(h.versions, next.Version)
+	if len(h.versions) > maxVersions {
+		h.versions = slices.Delete(h.versions, 0, maxVersions/2)
+	}
 	clear(h.deltas)
 	recorded := len(h.routes.changed) + len(h.services.changed) + len(h.workspaces.changed)
 	if present := len(next.Routes) + len(next.Services) + len(next.Workspaces); recorded > 2*present+maxRemoved {
@@ -129,9 +137,10 @@
 	}
 }
 
-// Since returns what changed after a version. It returns false if that is not known.
+// Since returns what changed after a version. It returns false if that is not known, as after a version that it was never
+// told of.
 func (h *History) Since(version Version) (Delta, bool) {
-	if version < h.from || version == 0 {
+	if _, known := slices.BinarySearch(h.versions, version); !known || version == 0 {
 		return Delta{}, false
 	}
 	if d, ok := h.deltas[version]; ok {
