A node compares the content of its configuration with its replica's

Versions in updates now carry the digest of the routing configuration. A node with another digest at the same version does not count as confirmed, logs event 317 and asks for the whole configuration with its next heartbeat. Builds that know other fields have other digests: that of a whole configuration tells, and the digests of that replica are ignored. Old nodes and replicas send neither.

--- a/control/serve.go
+++ b/control/serve.go
@@ -174,8 +174,10 @@
 	notify         chan struct{}
 	catalogVersion fleet.Version
 	routingVersion routing.Version
-	// routingDeltas is whether the node takes changes of the routing configuration alone.
+	// routingDeltas is whether the node takes changes of the routing configuration alone. wholeRouting is set while
+	// it waits for the whole one; only the replica's goroutine accesses it.
 	routingDeltas bool
+	wholeRouting  bool
 	// evacuations is the number of the list of evacuated data centres that was last sent.
 	evacuations uint64
 	// instancesNumber is the number of the instance list that was last sent.
@@ -195,10 +197,10 @@
 	updatedAt atomic.Int64
 }
 
-// updateDue reports whether a heartbeat is to be followed by an update. Probes always are, and so is
-// the first heartbeat that is none.
+// updateDue reports whether a heartbeat is to be followed by an update. Probes always are, and so are
+// the first heartbeat that is none and those that ask for something.
 func (s *subscriber) updateDue(h Heartbeat, probedBefore bool, now time.Duration) bool {
-	return h.Probe || probedBefore || now-time.Duration(s.updatedAt.Load()) >= echoInterval
+	return h.Probe || probedBefore || h.WholeRouting || now-time.Duration(s.updatedAt.Load()) >= echoInterval
 }
 
 // serveSubscriber receives an entry node's heartbeats and sends updates to it.
@@ -265,6 +267,7 @@
 		if heartbeat.Probe {
 			return
 		}
+		s.wholeRouting = s.wholeRouting || heartbeat.WholeRouting
 		now := clock.SinceBoot()
 		node := heartbeat.Report.Holder.Node
 		heartbeat.Report.AgeMillis = 0
--- a/control/versions.go
+++ b/control/versions.go
@@ -10,11 +10,18 @@
 	Catalog     fleet.Version   `json:"catalog"`
 	Routing     routing.Version `json:"routing"`
 	Evacuations uint64          `json:"evacuations"`
+	// RoutingDigest is that of the content of the version Routing, 0 from replicas that do not send it.
+	RoutingDigest routing.Digest `json:"routingDigest,omitempty"`
 }
 
 // Reach reports whether v has all that other has, in this version or a later one.
 func (v Versions) Reach(other Versions) bool {
-	return v.Catalog >= other.Catalog && v.Routing >= other.Routing && v.Evacuations >= other.Evacuations
+	return !v.Differ(other) && v.Catalog >= other.Catalog && v.Routing >= other.Routing && v.Evacuations >= other.Evacuations
+}
+
+// Differ reports whether v and other have the same version of the routing configuration with different contents.
+func (v Versions) Differ(other Versions) bool {
+	return v.Routing == other.Routing && v.RoutingDigest != 0 && other.RoutingDigest != 0 && v.RoutingDigest != other.RoutingDigest
 }
 
 // versions returns the versions of the state that the replica has applied.
@@ -23,6 +30,8 @@
 		Catalog:     m.catalog.Version(),
 		Routing:     m.routing.Config.Version,
 		Evacuations: m.evacuations.List.Number,
+
+		RoutingDigest: m.routingHistory.Digest(),
 	}
 }
 
@@ -30,6 +39,10 @@
 // since that one.
 func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
 	c := r.machine.routing.Config
+	if s.wholeRouting {
+		s.wholeRouting = false
+		return &c, nil
+	}
 	if c.Version <= s.routingVersion {
 		return nil, nil
 	}
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -158,7 +158,10 @@
 	controlReachable atomic.Bool
 	// behindSince is since when a replica has proved a newer configuration than the node has, on the
 	// boot clock, 0 if none has. It is owned by the goroutine that receives updates.
-	behindSince        time.Duration
+	behindSince time.Duration
+	// wholeWanted is set while the node waits for a whole routing configuration, as what it has differs from its
+	// replica's.
+	wholeWanted        atomic.Bool
 	rejected           atomic.Bool
 	heartbeatRequested chan struct{}
 
--- a/controlclient/freshness.go
+++ b/controlclient/freshness.go
@@ -29,6 +29,10 @@
 		return
 	}
 	own := c.knowledge.Load().versions()
+	if own.Differ(*update.Versions) {
+		c.requestWhole(address, own, *update.Versions)
+		return
+	}
 	if own.Reach(*update.Versions) {
 		c.behindSince = 0
 		return
@@ -44,6 +48,20 @@
 		Msg("the replica has a newer configuration than this node")
 }
 
+// requestWhole asks the replica for the whole routing configuration, as the node's differs at the same version.
+func (c *Client) requestWhole(address netip.AddrPort, own, replica control.Versions) {
+	if c.wholeWanted.Swap(true) {
+		return
+	}
+	c.withAge(c.cfg.Log.Error(event.ConfigDiffers)).
+		Str("replica", address.String()).
+		Uint64("version", uint64(own.Routing)).
+		Str("digest", own.RoutingDigest.String()).
+		Str("replicaDigest", replica.RoutingDigest.String()).
+		Msg("the configuration differs from the replica's at the same version; the node asks for the whole one")
+	c.SendHeartbeat()
+}
+
 // withAge adds to a log line for how long the configuration has been unconfirmed.
 func (c *Client) withAge(line *log.Entry) *log.Entry {
 	if age := c.Unconfirmed(); age != NeverConfirmed {
--- a/controlclient/knowledge.go
+++ b/controlclient/knowledge.go
@@ -35,6 +35,7 @@
 	}
 	if k.routing != nil {
 		v.Routing = k.routing.Config.Version
+		v.RoutingDigest = k.routing.Digest
 	}
 	return v
 }
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -127,6 +127,9 @@
 	known      map[fleet.NodeID]roster.Report
 	// staleSince is when the replica became stale, zero while it is up to date.
 	staleSince time.Time
+	// incomparable is set if the replica's digest of a whole configuration is not the node's: its build knows other
+	// fields.
+	incomparable bool
 	// next is the search for another replica, nil while this one is up to date.
 	next *search
 }
@@ -164,6 +167,7 @@
 
 // apply applies an update and searches another replica while this one is stale.
 func (f *follower) apply(update control.Update) {
+	f.compareDigests(&update)
 	f.c.applyUpdate(f.s.address, update, f.known)
 	f.c.confirm(update, f.wholeSince)
 	if !update.Stale {
@@ -183,6 +187,22 @@
 	f.search()
 }
 
+// compareDigests removes the digest from an update if it says nothing: that of a whole configuration must be the node's.
+func (f *follower) compareDigests(update *control.Update) {
+	if update.Versions == nil {
+		return
+	}
+	if update.Routing != nil && update.Versions.Routing == update.Routing.Version {
+		digest := update.Versions.RoutingDigest
+		f.incomparable = digest != 0 && digest != update.Routing.Digest()
+	}
+	if f.incomparable {
+		versions := *update.Versions
+		versions.RoutingDigest = 0
+		update.Versions = &versions
+	}
+}
+
 // search starts a search for another replica unless one is under way.
 func (f *follower) search() {
 	if f.next == nil {
@@ -231,6 +251,7 @@
 		Probe:       probe,
 
 		RoutingDeltas: true,
+		WholeRouting:  c.wholeWanted.Load(),
 		Sent:          int64(clock.SinceBoot()),
 	}
 }
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -99,7 +99,9 @@
 func (c *Client) newerRouting(update control.Update) (*routing.View, bool) {
 	view := c.knowledge.Load().routing
 	switch {
-	case update.Routing != nil && update.Routing.Version > c.routingVersion():
+	case update.Routing != nil && update.Routing.Version == c.routingVersion() && c.wholeWanted.Load(),
+		update.Routing != nil && update.Routing.Version > c.routingVersion():
+		c.wholeWanted.Store(false)
 		return routing.NewView(*update.Routing), true
 	case update.RoutingDelta != nil && view != nil:
 		return view.With(*update.RoutingDelta)
--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	ReplicaUnfit     ID = 314
 	EntriesSkipped   ID = 315
 	ConfigBehind     ID = 316
+	ConfigDiffers    ID = 317
 
 	SettlementHeld     ID = 401
 	SettlementHandedIn ID = 402
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -99,6 +99,7 @@
 // is in neither. It is not safe for concurrent use.
 type History struct {
 	current Config
+	digest  Digest
 	// versions are those since which the changes are known, in ascending order.
 	versions   []Version
 	routes     changeTimes[Match, Route]
@@ -112,6 +113,7 @@
 func NewHistory(c Config) *History {
 	return &History{
 		current:    c,
+		digest:     c.Digest(),
 		versions:   []Version{c.Version},
 		routes:     newChangeTimes(Route.match),
 		services:   newChangeTimes(Service.id),
@@ -120,11 +122,15 @@
 	}
 }
 
+// Digest returns the digest of the current configuration.
+func (h *History) Digest() Digest { return h.digest }
+
 // Advance records the next configuration.
 func (h *History) Advance(next Config) {
-	h.routes.advance(h.current.Routes, next.Routes, next.Version)
-	h.services.advance(h.current.Services, next.Services, next.Version)
-	h.workspaces.advance(h.current.Workspaces, next.Workspaces, next.Version)
+	h.digest += digestOf(next.Limits) - digestOf(h.current.Limits) +
+		h.routes.advance(h.current.Routes, next.Routes, next.Version) +
+		h.services.advance(h.current.Services, next.Services, next.Version) +
+		h.workspaces.advance(h.current.Workspaces, next.Workspaces, next.Version)
 	h.current = next
 	h.versions = append(h.versions, next.Version)
 	if len(h.versions) > maxVersions {
@@ -172,7 +178,8 @@
 	}
 }
 
-func (t *changeTimes[K, T]) advance(before, after []T, version Version) {
+// advance records which parts have changed and returns what that adds to the digest.
+func (t *changeTimes[K, T]) advance(before, after []T, version Version) (change Digest) {
 	old := make(map[K]*T, len(before))
 	for i := range before {
 		old[t.key(before[i])] = &before[i]
@@ -182,12 +189,18 @@
 		part, known := old[k]
 		if !known || !reflect.DeepEqual(*part, after[i]) {
 			t.changed[k] = version
+			change += digestOf(after[i])
+			if known {
+				change -= digestOf(*part)
+			}
 		}
 		delete(old, k)
 	}
-	for k := range old {
+	for k, part := range old {
 		t.changed[k] = version
+		change -= digestOf(*part)
 	}
+	return change
 }
 
 func (t *changeTimes[K, T]) since(parts []T, version Version) Changes[K, T] {
--- a/routing/digest_test.go
+++ b/routing/digest_test.go
@@ -6,7 +6,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestDigestFollowsContent compares the digests of views that follow deltas with those of whole configurations. Guards
+// TestDigestFollowsContent compares the digests of histories and of views that follow deltas with those of whole
+// configurations. Guards
 // against contents that differ unnoticed, and against equal ones that count as different.
 func TestDigestFollowsContent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -20,6 +21,9 @@
 			if got, want := next.Digest, config.Digest(); !ok || got != want {
 				t.Fatalf("got digest %s after the delta to version %d, want %s", got, version, want)
 			}
+			if got, want := h.Digest(), config.Digest(); got != want {
+				t.Fatalf("got digest %s of the history at version %d, want %s", got, version, want)
+			}
 			other := sorted(config)
 			if got, want := other.Digest(), config.Digest(); got != want {
 				t.Fatalf("got digest %s for the parts in another order, want %s", got, want)
