A relay decides requests again by its own configuration if that is newer

A VM in touch, with the newest configuration, ran what an old one allows.

The request now carries what it was decided by. A relay with a newer configuration compares, refuses what that forbids as outdated, and names its version; nothing has been sent then. The same comparison is made before a node sends what it has decided earlier itself, as long as nothing has begun. Requests of nodes of the build before are compared by route and service.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,8 @@
 	resultTimeout
 	// resultNoPath means that nothing was sent, since the node is isolated and no other relays.
 	resultNoPath
+	// resultOutdated means that nothing was sent, since a newer configuration does not allow the request.
+	resultOutdated
 )
 
 // replaceable reports whether an attempt that has no response may be replaced by another.
@@ -70,8 +72,11 @@
 	x.unfinishedBytes = 0
 	x.eventsBefore = x.events
 	out := x.outgoingRequest(placed.Instance)
-	out.Revoked = func() bool { return !x.s.dispatch.maySend(x.service.ID, placed, x.permitted) }
+	out.Revoked = func() bool { return !x.s.dispatch.maySend(x.service.ID, placed, x.permitted) || x.outdated() }
 	x.sentAt, x.speedSample = clock.SinceBoot(), nil
+	if x.outdated() {
+		return x.endOutdatedAttempt(placed, nil)
+	}
 	in, err := x.send(ctx, placed, out)
 	if err != nil {
 		sendErr := (*backend.SendError)(nil)
@@ -200,6 +205,9 @@
 		x.attemptEnded(placed, placement.OutcomeFailed)
 		return resultTimeout, err
 	}
+	if outdated := (*outdatedError)(nil); errors.As(err, &outdated) {
+		return x.endOutdatedAttempt(placed, err)
+	}
 	if !sent && errors.Is(err, backend.ErrRevoked) {
 		return x.endRevokedAttempt(placed, err)
 	}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -123,6 +123,9 @@
 // endRevokedAttempt ends an attempt whose instance stopped taking requests while the request waited
 // for a connection. It tells nothing of the instance.
 func (x *exchange) endRevokedAttempt(placed *placement.Assignment, err error) (attemptResult, error) {
+	if x.outdated() {
+		return x.endOutdatedAttempt(placed, err)
+	}
 	x.attemptEnded(placed, placement.OutcomeNeutral)
 	return resultNotSent, err
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -80,6 +80,8 @@
 	counted        bool
 	permitted      bool
 	permitsRefused int
+	// newerVersion is the latest version by which another node has found the request outdated.
+	newerVersion routing.Version
 	// relayed is set if the current attempt went through another node, relayedBy is the last one that was asked.
 	relayed   bool
 	relayedBy fleet.NodeID
@@ -348,6 +350,12 @@
 			return
 		}
 		x.logAttempt(placed, result, err)
+		if result == resultOutdated {
+			if !x.decideAgain() {
+				return
+			}
+			continue
+		}
 		if result == resultTimeout {
 			x.fail(CauseDeadline)
 			return
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -55,6 +55,9 @@
 	CauseUnreachable Cause = "unreachable"
 	// CauseIsolated means that this node is cut off from the instances and no other node relays.
 	CauseIsolated Cause = "isolated"
+	// CauseOutdated means that the request was decided by a configuration that this node has, but a newer one, which
+	// another node has, does not allow it so.
+	CauseOutdated Cause = "outdated"
 	// CauseInstanceBusy means that instances refused the request.
 	CauseInstanceBusy Cause = "instanceBusy"
 	// CauseInDoubt means that the request may have run but no response was received.
@@ -90,6 +93,8 @@
 		return CauseDeadline
 	case resultNoPath:
 		return CauseIsolated
+	case resultOutdated:
+		return CauseOutdated
 	}
 	return CauseInDoubt
 }
@@ -98,8 +103,8 @@
 const (
 	// retryDelayBusy is roughly the time in which a busy instance finishes a request.
 	retryDelayBusy = 400 * time.Millisecond
-	// retryDelayOtherNode is short because another node may have the quota or memory that
-	// this one lacks.
+	// retryDelayOtherNode is short because another node may have the quota, memory or configuration
+	// that this one lacks.
 	retryDelayOtherNode = 60 * time.Millisecond
 	// retryDelayUnavailable is roughly the time in which the instance list, the
 	// configuration or quota changes.
@@ -118,7 +123,7 @@
 	switch cause {
 	case CauseInstanceBusy, CauseUnreachable:
 		base = retryDelayBusy
-	case CauseNoQuota, CauseNodeBusy, CauseNodeStopping:
+	case CauseNoQuota, CauseNodeBusy, CauseNodeStopping, CauseOutdated:
 		base = retryDelayOtherNode
 	}
 	return jitter(base)
--- a/gateway/outdated_test.go
+++ b/gateway/outdated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/waxwingreel/waxwingreel/faultproxy"
+	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/routing"
 )
 
@@ -80,6 +82,107 @@
 	}
 }
 
+// newService adds an instance of another service to the lists of all nodes. It returns the requests that have run there.
+func (f *isolatedFleet) newService(id fleet.ServiceID) *countingInstance {
+	f.t.Helper()
+	in := &countingInstance{runs: map[string]int{}}
+	server := httptest.NewServer(in)
+	f.t.Cleanup(server.Close)
+	for node, s := range f.servers {
+		list := []routing.Instance{{
+			ID:      fleet.BackendServerID("of-" + id),
+			Service: id,
+			Address: newPath(f.t, netip.MustParseAddrPort(server.Listener.Addr().String())).address,
+			Slots:   8,
+		}}
+		for j, p := range f.paths[node] {
+			list = append(list, routing.Instance{
+				ID:      fleet.BackendServerID(fmt.Sprint("i", j)),
+				Service: "s",
+				Address: p.address,
+				Slots:   8,
+			})
+		}
+		s.SetInstances(list)
+	}
+	return in
+}
+
+// decidedAgain are the changes that requests which wait meanwhile are decided by, with their status.
+var decidedAgain = map[string]int{
+	"routes are gone":                http.StatusNotFound,
+	"routes lead to another service": http.StatusOK,
+	"keys are needed":                http.StatusUnauthorized,
+}
+
+// TestRefusedRequestIsDecidedByOldConfiguration gives a node that is cut off the newest configuration while a request is with
+// the node that relays for it. Guards against refusals, and against denials by the old configuration, where the node knows
+// better by then.
+func TestRefusedRequestIsDecidedByOldConfiguration(t *testing.T) {
+	for name, want := range decidedAgain {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newIsolatedFleet(t, 2)
+			moved := f.newService("s2")
+			f.isolate(0)
+			view := changedRouting(changes[name])
+			f.servers[1].HandleRouting(view)
+			f.relayDelay.Store(int64(150 * time.Millisecond))
+			time.AfterFunc(50*time.Millisecond, func() { f.servers[0].HandleRouting(view) })
+			if got := f.send(0, "/once/", "again"); got != want {
+				t.Errorf("got status %d, want %d", got, want)
+			}
+			f.instances.mu.Lock()
+			defer f.instances.mu.Unlock()
+			moved.mu.Lock()
+			defer moved.mu.Unlock()
+			if got := moved.runs["again"]; f.instances.runs["again"] > 0 || got > 0 != (want == http.StatusOK) {
+				t.Errorf("got %d runs at the old service and %d at the new one", f.instances.runs["again"], got)
+			}
+		})
+	}
+}
+
+// TestWaitingRequestIsSentByOldConfiguration changes the configuration while the body of a request still comes. Guards against
+// requests that a node sends long after it has got a configuration which forbids them.
+func TestWaitingRequestIsSentByOldConfiguration(t *testing.T) {
+	for name, want := range decidedAgain {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newIsolatedFleet(t, 1)
+			moved := f.newService("s2")
+			body, rest := io.Pipe()
+			r, err := http.NewRequest(http.MethodPost, f.callers[0]+"/once/x", body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header.Set("Attempt-Id", "waits")
+			go func() {
+				_, _ = io.WriteString(rest, "first")
+				time.Sleep(200 * time.Millisecond)
+				f.servers[0].HandleRouting(changedRouting(changes[name]))
+				_, _ = io.WriteString(rest, "last")
+				_ = rest.Close()
+			}()
+			response, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if got := response.StatusCode; got != want {
+				t.Errorf("got status %d, want %d", got, want)
+			}
+			f.instances.mu.Lock()
+			defer f.instances.mu.Unlock()
+			moved.mu.Lock()
+			defer moved.mu.Unlock()
+			if got := moved.runs["waits"]; f.instances.runs["waits"] > 0 || got > 0 != (want == http.StatusOK) {
+				t.Errorf("got %d runs at the old service and %d at the new one", f.instances.runs["waits"], got)
+			}
+		})
+	}
+}
+
 // newSlowPeer puts a proxy before a node, through which the others reach it. It returns a function that sets the delay in
 // each direction.
 func (f *isolatedFleet) newSlowPeer(node int) (setDelay func(time.Duration)) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,8 +36,13 @@
 
 // RelayRequest is a request to an instance.
 type RelayRequest struct {
-	// Version is that of the configuration by which the request was decided.
+	// Version is that of the configuration by which the request was decided, 0 from nodes that do not say it. They do
+	// not send the four that follow either.
 	Version    routing.Version       `json:"version,omitempty"`
+	Service    fleet.ServiceID       `json:"service,omitempty"`
+	Workspace  fleet.WorkspaceID     `json:"workspace,omitempty"`
+	Key        string                `json:"key,omitempty"`
+	Attempt    int                   `json:"attempt,omitempty"`
 	Request    routing.RequestID     `json:"request"`
 	Instance   fleet.BackendServerID `json:"instance"`
 	Born       int64                 `json:"born,omitempty"`
@@ -64,6 +69,8 @@
 	// RelayExcluded means that the instance takes no requests from the node: it leaves, is full, or is
 	// not in the node's list.
 	RelayExcluded RelayRefusal = "excluded"
+	// RelayOutdated means that the node has a newer configuration, which does not allow the request.
+	RelayOutdated RelayRefusal = "outdated"
 	// RelayUnreachable means that the node could not connect to the instance.
 	RelayUnreachable RelayRefusal = "unreachable"
 )
@@ -72,6 +79,8 @@
 type RelayResponse struct {
 	// Refusal is set if nothing was sent to the instance.
 	Refusal RelayRefusal `json:"refusal,omitempty"`
+	// Version is that of the node's configuration, with RelayOutdated.
+	Version routing.Version `json:"version,omitempty"`
 	// Error is set if the request was sent and got no response.
 	Error *RelayError `json:"error,omitempty"`
 
@@ -138,8 +147,13 @@
 	if out.Revoked() {
 		return nil, &backend.SendError{Err: eris.Wrapf(backend.ErrRevoked, "relay to %s", out.Instance.ID)}
 	}
+	decided := x.decision()
 	request := RelayRequest{
 		Version:       x.view.Config.Version,
+		Service:       decided.Service,
+		Workspace:     decided.Workspace,
+		Key:           decided.Key,
+		Attempt:       decided.Attempt,
 		Request:       x.request.ID,
 		Instance:      out.Instance.ID,
 		Born:          placed.Instance.Born,
@@ -161,6 +175,8 @@
 			return in, err
 		}
 		switch refusal {
+		case RelayOutdated:
+			return nil, err
 		case RelayIsolated:
 			x.s.peers.markIsolated(relay.node)
 		case RelayBusy:
@@ -179,7 +195,7 @@
 }
 
 // relay sends the request through a node. It returns a refusal if nothing was sent to the instance. An error
-// is a *backend.SendError.
+// is a *backend.SendError; of the refusals only RelayOutdated comes with one.
 func (x *exchange) relay(ctx context.Context, r relayNode, request RelayRequest) (*backend.Incoming, RelayRefusal, error) {
 	openCtx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
 	defer cancel()
@@ -210,6 +226,13 @@
 		return failed(channelError(r.node, err))
 	}
 	switch {
+	case response.Refusal == RelayOutdated:
+		stop()
+		ch.Close()
+		return nil, RelayOutdated, &backend.SendError{Err: &outdatedError{
+			relay:   r.node,
+			version: response.Version,
+		}}
 	case response.Refusal != "":
 		stop()
 		ch.Close()
--- a/gateway/relaying.go
+++ b/gateway/relaying.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -89,7 +90,29 @@
 	r.line().
 		Str("refusal", string(refusal)).
 		Msg("request of another node was not relayed")
-	_ = r.ch.Send(RelayResponse{Refusal: refusal})
+	response := RelayResponse{Refusal: refusal}
+	if view := r.s.view.Load(); view != nil && refusal == RelayOutdated {
+		response.Version = view.Config.Version
+	}
+	_ = r.ch.Send(response)
+}
+
+// outdated reports whether this node has a newer configuration, which does not allow the request. What only the other
+// node's configuration has is sent as that node decided it.
+func (r *relaying) outdated(service fleet.ServiceID) bool {
+	path, _, _ := strings.Cut(r.request.Target, "?")
+	if r.request.Version == 0 {
+		return !r.s.view.Load().AllowsService(r.request.Host, path, service)
+	}
+	return r.s.outdated(r.request.Version, routing.Decision{
+		Host:       r.request.Host,
+		Path:       path,
+		Key:        r.request.Key,
+		Service:    service,
+		Workspace:  r.request.Workspace,
+		Repeatable: !r.request.AtMostOnce,
+		Attempt:    r.request.Attempt,
+	})
 }
 
 func (r *relaying) run(ctx context.Context) {
@@ -99,9 +122,15 @@
 	case s.Isolated():
 		r.refuse(RelayIsolated)
 		return
-	case !ok:
+	case !ok || r.request.Service != "" && r.request.Service != instance.Service:
 		r.refuse(RelayExcluded)
 		return
+	case s.view.Load() == nil:
+		r.refuse(RelayBusy)
+		return
+	case r.outdated(instance.Service):
+		r.refuse(RelayOutdated)
+		return
 	}
 	placed := &placement.Assignment{Instance: instance}
 	in, err := s.conns.Do(ctx, r.outgoing(placed))
@@ -112,6 +141,9 @@
 		s.conns.Retire(backendInstance(instance))
 		_ = r.ch.Send(RelayResponse{Error: newRelayError(err)})
 		return
+	case r.outdated(instance.Service):
+		r.refuse(RelayOutdated)
+		return
 	case s.paths.awaitRound(ctx):
 		r.refuse(RelayIsolated)
 		return
@@ -145,7 +177,7 @@
 			return r.s.cfg.Protocol.Match(r.request.Request, status, header)
 		},
 		Revoked: func() bool {
-			return !r.s.dispatch.maySend(placed.Instance.Service, placed, r.request.Permitted)
+			return !r.s.dispatch.maySend(placed.Instance.Service, placed, r.request.Permitted) || r.outdated(placed.Instance.Service)
 		},
 	}
 }
