The time that a relayed request is on its way counts against its deadline

Cause: a relayed request says how much time it has left, and the relay counted that from when it had received it. Time on the way, over a full link or to a relay that is late, was not taken off, and the end of the channel came as late.

A relay now answers first that it is ready and counts from that answer on its own clock; the node that asks reads its clock after the answer, so the relay's deadline is never the later one. A relay that does not answer within 300 ms has got nothing and another one is asked.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"github.com/waxwingreel/waxwingreel/clock"
 	"github.com/waxwingreel/waxwingreel/fleet"
 )
 
@@ -136,6 +137,9 @@
 // ErrRevoked means that the instance stopped taking requests while the request waited for a connection.
 var ErrRevoked = eris.New("backend: the instance takes no requests any more")
 
+// ErrExpired means that the request's deadline passed before anything was sent.
+var ErrExpired = eris.New("backend: the deadline passed before the request was sent")
+
 // SendError is the error of a request that got no response.
 type SendError struct {
 	// Sent is set if part of the request may have been sent, so that it may have run.
@@ -174,6 +178,14 @@
 	// after a connection was opened, which can take as long as an instance needs to leave. It
 	// may be nil.
 	Revoked func() bool
+	// Deadline is a time of the boot clock from which on the request is not sent, 0 for none. A context may end late: its
+	// clock stands still while the VM is suspended, and its timer waits while the process has no processor.
+	Deadline time.Duration
+}
+
+// expired reports whether the request's deadline has passed.
+func (o Outgoing) expired() bool {
+	return o.Deadline != 0 && clock.SinceBoot() >= o.Deadline
 }
 
 // Incoming is a response whose body has not been read.
@@ -220,6 +232,10 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	if out.expired() {
+		_ = conn.conn.Close()
+		return nil, &SendError{Err: eris.Wrapf(ErrExpired, "backend: %s at %s", out.Instance.ID, out.Instance.Address)}
+	}
 	stop := context.AfterFunc(ctx, func() { conn.abandon(context.Cause(ctx)) })
 	in, reusable, err := conn.exchange(out)
 	conn.headRead.Store(true)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -144,6 +144,7 @@
 		Header:     x.s.cfg.Protocol.Forward(x.r.Header, forward),
 		Body:       x.body,
 		AtMostOnce: !x.route.Repeatable(),
+		Deadline:   x.deadline,
 		Match: func(status int, header http.Header) backend.Match {
 			return x.s.cfg.Protocol.Match(id, status, header)
 		},
@@ -205,6 +206,10 @@
 		x.attemptEnded(placed, placement.OutcomeFailed)
 		return resultTimeout, err
 	}
+	if !sent && errors.Is(err, backend.ErrExpired) {
+		x.attemptEnded(placed, placement.OutcomeNeutral)
+		return resultTimeout, err
+	}
 	if outdated := (*outdatedError)(nil); errors.As(err, &outdated) {
 		return x.endOutdatedAttempt(placed, err)
 	}
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -71,7 +71,7 @@
 }
 
 func (c rosterControl) ControlReachable() bool     { return true }
-func (c rosterControl) Unconfirmed() time.Duration { return 0 }
+func (c rosterControl) Unconfirmed() time.Duration { return time.Duration(c.fleet.unconfirmed.Load()) }
 func (c rosterControl) Roster() []roster.Report    { return c.fleet.roster() }
 
 // isolatedFleet is a fleet whose nodes have paths of their own to the instances.
@@ -84,6 +84,8 @@
 	endpoints []*wire.Endpoint
 	// relayDelay is how long a node takes to respond to a request to relay.
 	relayDelay atomic.Int64
+	// unconfirmed is for how long no node's configuration was confirmed.
+	unconfirmed atomic.Int64
 
 	mu      sync.Mutex
 	reports []roster.Report
--- a/gateway/outdated_test.go
+++ b/gateway/outdated_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +13,9 @@
 
 	"github.com/waxwingreel/waxwingreel/faultproxy"
 	"github.com/waxwingreel/waxwingreel/fleet"
+	"github.com/waxwingreel/waxwingreel/gateway"
 	"github.com/waxwingreel/waxwingreel/routing"
+	"github.com/waxwingreel/waxwingreel/wire"
 )
 
 // changedRouting returns version 2 of isolatedRouting, with a change.
@@ -272,3 +275,103 @@
 		t.Errorf("got status %d of the stream, want %d", got, want)
 	}
 }
+
+// TestRelayCountsTimeOnTheWay sends a relay the request proper later than the request's time after the relay has said that
+// it is ready. Guards against a deadline that begins anew at each node.
+func TestRelayCountsTimeOnTheWay(t *testing.T) {
+	for name, late := range map[string]time.Duration{
+		"in time": 0,
+		"late":    300 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newIsolatedFleet(t, 1)
+			ch := openTo(t, f.roster()[0].WireAddress)
+			ready := gateway.RelayResponse{}
+			if err := ch.Send(gateway.RelayRequest{Opens: true}); err != nil {
+				t.Fatal(err)
+			}
+			if err := ch.Receive(&ready); err != nil || !ready.Ready {
+				t.Fatalf("got %+v (%v), want a relay that is ready", ready, err)
+			}
+			time.Sleep(late)
+			response := gateway.RelayResponse{}
+			if err := ch.Send(relayedRequest(200 * time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			if err := ch.Receive(&response); err != nil {
+				t.Fatal(err)
+			}
+			f.instances.mu.Lock()
+			defer f.instances.mu.Unlock()
+			if got, want := f.instances.runs["r"], 1; late == 0 && (got != want || response.Status != http.StatusOK) {
+				t.Errorf("got %d runs and %+v, want %d", got, response, want)
+			}
+			if got, want := response.Refusal, gateway.RelayExpired; late > 0 && (got != want || f.instances.runs["r"] > 0) {
+				t.Errorf("got refusal %q, want %q and no run", got, want)
+			}
+		})
+	}
+}
+
+// TestRelayOfEarlierBuild isolates a node whose only relay is of the build before, which runs what it gets. Guards against
+// callers that are refused while both builds run, and against old decisions that such a relay does not compare.
+func TestRelayOfEarlierBuild(t *testing.T) {
+	for name, test := range map[string]struct {
+		unconfirmed time.Duration
+		want        int
+	}{
+		"recent configuration": {want: http.StatusOK},
+		"old configuration": {
+			unconfirmed: 3 * time.Second,
+			want:        http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newIsolatedFleet(t, 2)
+			f.unconfirmed.Store(int64(test.unconfirmed))
+			f.isolate(0)
+			old, err := wire.New(wire.Config{
+				Node:   "old",
+				Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+				Secret: "a secret of the tests",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(old.Close)
+			old.HandleChannel(gateway.MethodRelay, func(_ context.Context, _ fleet.NodeID, ch *wire.Channel) {
+				defer ch.Close()
+				request := struct {
+					Request  string `json:"request"`
+					Instance string `json:"instance"`
+				}{}
+				if ch.Receive(&request) != nil {
+					return
+				}
+				if request.Instance == "" {
+					_ = ch.Send(gateway.RelayResponse{Refusal: gateway.RelayExcluded})
+					return
+				}
+				_ = ch.Send(gateway.RelayResponse{
+					Status: http.StatusOK,
+					Header: http.Header{
+						"Attempt-Id":         {request.Request},
+						"Instance-Signature": {"signed"},
+					},
+					Length: -1,
+				})
+				_ = ch.Send(gateway.RelayChunk{End: true})
+			})
+			old.Start()
+			f.mu.Lock()
+			f.reports = append(f.reports[:0:0], f.reports...)
+			f.reports[1].WireAddress = old.Address()
+			f.mu.Unlock()
+			if got := f.send(0, "/once/", "old"); got != test.want {
+				t.Errorf("got status %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -20,6 +20,8 @@
 	ReadRequest(r *http.Request) (routing.Request, error)
 	// Forward returns the headers of the request to an instance.
 	Forward(received http.Header, f Forward) http.Header
+	// SetTimeout sets the time until the caller's deadline in the headers of a request to an instance.
+	SetTimeout(forwarded http.Header, left time.Duration)
 	// ReadResponse parses the status and headers of an instance's response.
 	ReadResponse(status int, header http.Header) Response
 	// Match compares a response with a request.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 
 	"github.com/waxwingreel/waxwingreel/backend"
 	"github.com/waxwingreel/waxwingreel/clock"
+	"github.com/waxwingreel/waxwingreel/control"
 	"github.com/waxwingreel/waxwingreel/fleet"
 	"github.com/waxwingreel/waxwingreel/metrics"
 	"github.com/waxwingreel/waxwingreel/placement"
@@ -21,21 +23,29 @@
 )
 
 // MethodRelay sends one request to an instance through another node. The node that is cut off opens the
-// channel and sends a RelayRequest. It receives a RelayResponse and then the body in a series of
-// RelayChunk. Closing the channel cancels the request.
+// channel and sends a RelayRequest with Opens set, which the other node answers with a RelayResponse. If that is
+// ready, the RelayRequest proper follows, whose time counts from the other node's answer. The node that is cut off
+// receives a RelayResponse and then the body in a series of RelayChunk. Closing the channel cancels the request.
+//
+// Nodes of earlier versions know no Opens: they refuse it as a request for no instance, and get the request over
+// another channel.
 const MethodRelay wire.Method = "relay"
 
 const (
 	// maxRelays is the number of nodes that are asked to relay one request.
 	maxRelays = 3
-	// relayOpenTimeout limits the time to open a channel to a node.
+	// relayOpenTimeout limits the time in which a node answers that it is ready.
 	relayOpenTimeout = 300 * time.Millisecond
+	// relayRequestTimeout limits the time in which the request follows.
+	relayRequestTimeout = 10 * time.Second
 	// relayChunkBytes is the size of the pieces in which a body is relayed.
 	relayChunkBytes = 16 << 10
 )
 
 // RelayRequest is a request to an instance.
 type RelayRequest struct {
+	// Opens is set if only the node's answer is asked for. Besides, only Request is set then.
+	Opens bool `json:"opens,omitempty"`
 	// Version is that of the configuration by which the request was decided, 0 from nodes that do not say it. They do
 	// not send the four that follow either.
 	Version    routing.Version       `json:"version,omitempty"`
@@ -54,7 +64,7 @@
 	AtMostOnce bool                  `json:"atMostOnce,omitempty"`
 	// Permitted is set if the request has a permit of a limited instance.
 	Permitted bool `json:"permitted,omitempty"`
-	// TimeoutMillis is the time until the request's deadline.
+	// TimeoutMillis is the time until the request's deadline, as of the answer that the node is ready.
 	TimeoutMillis int64 `json:"timeoutMillis"`
 }
 
@@ -71,12 +81,16 @@
 	RelayExcluded RelayRefusal = "excluded"
 	// RelayOutdated means that the node has a newer configuration, which does not allow the request.
 	RelayOutdated RelayRefusal = "outdated"
+	// RelayExpired means that the request came after its deadline.
+	RelayExpired RelayRefusal = "expired"
 	// RelayUnreachable means that the node could not connect to the instance.
 	RelayUnreachable RelayRefusal = "unreachable"
 )
 
 // RelayResponse is the head of a response, or why there is none.
 type RelayResponse struct {
+	// Ready is set in the answer to a request that opens the channel, if the request proper may follow.
+	Ready bool `json:"ready,omitempty"`
 	// Refusal is set if nothing was sent to the instance.
 	Refusal RelayRefusal `json:"refusal,omitempty"`
 	// Version is that of the node's configuration, with RelayOutdated.
@@ -149,22 +163,21 @@
 	}
 	decided := x.decision()
 	request := RelayRequest{
-		Version:       x.view.Config.Version,
-		Service:       decided.Service,
-		Workspace:     decided.Workspace,
-		Key:           decided.Key,
-		Attempt:       decided.Attempt,
-		Request:       x.request.ID,
-		Instance:      out.Instance.ID,
-		Born:          placed.Instance.Born,
-		Method:        out.Method,
-		Target:        out.Target,
-		Host:          out.Host,
-		Header:        out.Header,
-		Body:          out.Body,
-		AtMostOnce:    out.AtMostOnce,
-		Permitted:     x.permitted,
-		TimeoutMillis: (x.deadline - clock.SinceBoot()).Milliseconds(),
+		Version:    x.view.Config.Version,
+		Service:    decided.Service,
+		Workspace:  decided.Workspace,
+		Key:        decided.Key,
+		Attempt:    decided.Attempt,
+		Request:    x.request.ID,
+		Instance:   out.Instance.ID,
+		Born:       placed.Instance.Born,
+		Method:     out.Method,
+		Target:     out.Target,
+		Host:       out.Host,
+		Header:     out.Header,
+		Body:       out.Body,
+		AtMostOnce: out.AtMostOnce,
+		Permitted:  x.permitted,
 	}
 	last := error(errNoRelay)
 	for _, relay := range x.s.peers.relays(x.s.cfg.DataCentre, maxRelays) {
@@ -175,7 +188,7 @@
 			return in, err
 		}
 		switch refusal {
-		case RelayOutdated:
+		case RelayOutdated, RelayExpired:
 			return nil, err
 		case RelayIsolated:
 			x.s.peers.markIsolated(relay.node)
@@ -195,17 +208,18 @@
 }
 
 // relay sends the request through a node. It returns a refusal if nothing was sent to the instance. An error
-// is a *backend.SendError; of the refusals only RelayOutdated comes with one.
+// is a *backend.SendError; of the refusals only RelayOutdated and RelayExpired come with one.
 func (x *exchange) relay(ctx context.Context, r relayNode, request RelayRequest) (*backend.Incoming, RelayRefusal, error) {
-	openCtx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
-	defer cancel()
-	ch, err := x.s.cfg.Peers.Open(openCtx, r.address, MethodRelay)
-	if err != nil {
-		if ctx.Err() == nil {
-			x.s.peers.markUnresponsive(r.node, err)
-		}
-		return nil, RelayBusy, nil
+	ch, refusal := x.openRelay(ctx, r)
+	if refusal != "" {
+		return nil, refusal, nil
 	}
+	left := x.deadline - clock.SinceBoot()
+	if left <= 0 {
+		ch.Close()
+		return nil, RelayExpired, &backend.SendError{Err: eris.Wrapf(backend.ErrExpired, "relay by %s", r.node)}
+	}
+	request.TimeoutMillis = left.Milliseconds()
 	stop := context.AfterFunc(ctx, ch.Close)
 	failed := func(err error) (*backend.Incoming, RelayRefusal, error) {
 		stop()
@@ -226,6 +240,10 @@
 		return failed(channelError(r.node, err))
 	}
 	switch {
+	case response.Refusal == RelayExpired:
+		stop()
+		ch.Close()
+		return nil, RelayExpired, &backend.SendError{Err: eris.Wrapf(backend.ErrExpired, "relay by %s", r.node)}
 	case response.Refusal == RelayOutdated:
 		stop()
 		ch.Close()
@@ -257,6 +275,58 @@
 	}, "", nil
 }
 
+// openRelay opens a channel to a node and waits until the node is ready. It returns a refusal if the node is not.
+func (x *exchange) openRelay(ctx context.Context, r relayNode) (*wire.Channel, RelayRefusal) {
+	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
+	defer cancel()
+	ch, response, err := x.s.askReady(ctx, r, x.request.ID)
+	switch {
+	case err != nil && x.ctx.Err() == nil:
+		x.s.peers.markUnresponsive(r.node, err)
+		return nil, RelayBusy
+	case err != nil:
+		return nil, RelayBusy
+	case response.Ready:
+		return ch, ""
+	}
+	ch.Close()
+	if response.Refusal != RelayExcluded {
+		return nil, cmp.Or(response.Refusal, RelayBusy)
+	}
+	// A node of an earlier version, which runs what it gets. So it only gets what was decided by a recent configuration.
+	if x.s.cfg.Control.Unconfirmed() > control.ConfigurationBound {
+		return nil, RelayBusy
+	}
+	if ch, err = x.s.cfg.Peers.Open(ctx, r.address, MethodRelay); err != nil {
+		return nil, RelayBusy
+	}
+	return ch, ""
+}
+
+// askReady opens a channel to a node and receives its answer.
+func (s *Server) askReady(ctx context.Context, r relayNode, id routing.RequestID) (*wire.Channel, RelayResponse, error) {
+	ch, err := s.cfg.Peers.Open(ctx, r.address, MethodRelay)
+	if err != nil {
+		return nil, RelayResponse{}, err
+	}
+	stop := context.AfterFunc(ctx, ch.Close)
+	response := RelayResponse{}
+	opens := RelayRequest{
+		Opens:   true,
+		Request: id,
+	}
+	if err = ch.Send(opens); err == nil {
+		err = ch.Receive(&response)
+	}
+	if !stop() {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		ch.Close()
+	}
+	return ch, response, err
+}
+
 func (x *exchange) countRelay(refusal RelayRefusal, err error) {
 	outcome := string(refusal)
 	switch {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// relayTo sends a request for node 0 to a node and returns its response.
-func relayTo(t *testing.T, address netip.AddrPort, request gateway.RelayRequest) gateway.RelayResponse {
+// openTo opens a channel for requests to relay to a node.
+func openTo(t *testing.T, address netip.AddrPort) *wire.Channel {
 	t.Helper()
 	endpoint, err := wire.New(wire.Config{
 		Node:   "asks",
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer endpoint.Close()
+	t.Cleanup(endpoint.Close)
 	endpoint.Start()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -47,7 +47,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ch.Close()
+	t.Cleanup(ch.Close)
+	return ch
+}
+
+// relayedRequest returns a request for instance 0 with the given time.
+func relayedRequest(timeout time.Duration) gateway.RelayRequest {
+	return gateway.RelayRequest{
+		Request:       "r",
+		Instance:      "i0",
+		Method:        http.MethodPost,
+		Target:        "/repeat/x",
+		Host:          "127.0.0.1",
+		Header:        http.Header{"Attempt-Id": {"r"}},
+		TimeoutMillis: timeout.Milliseconds(),
+	}
+}
+
+// relayTo sends a request for node 0 to a node, as nodes of earlier versions do, and returns its response.
+func relayTo(t *testing.T, address netip.AddrPort, request gateway.RelayRequest) gateway.RelayResponse {
+	t.Helper()
+	ch := openTo(t, address)
 	if err := ch.Send(request); err != nil {
 		t.Fatal(err)
 	}
@@ -61,15 +81,7 @@
 // TestRelayRefuses guards against requests that reach an instance through a node that must not send it any: the
 // bounds on draining and on full instances hold for the node that sends. Nothing may reach the instance.
 func TestRelayRefuses(t *testing.T) {
-	request := gateway.RelayRequest{
-		Request:       "r",
-		Instance:      "i0",
-		Method:        http.MethodPost,
-		Target:        "/repeat/x",
-		Host:          "127.0.0.1",
-		Header:        http.Header{"Attempt-Id": {"r"}},
-		TimeoutMillis: 1000,
-	}
+	request := relayedRequest(time.Second)
 	for name, c := range map[string]struct {
 		prepare func(*isolatedFleet)
 		change  func(*gateway.RelayRequest)
--- a/gateway/relaying.go
+++ b/gateway/relaying.go
@@ -24,32 +24,32 @@
 // that no request circles.
 func (s *Server) HandleRelay(ctx context.Context, from fleet.NodeID, ch *wire.Channel) {
 	defer ch.Close()
-	request := RelayRequest{}
-	if err := ch.Receive(&request); err != nil {
+	r := relaying{
+		s:    s,
+		from: from,
+		ch:   ch,
+	}
+	ok, err := r.receive()
+	if err != nil {
 		s.cfg.Log.Warn(event.PeerLost).Str("from", string(from)).Err(err).Msg("cannot read a request to relay")
+	}
+	if !ok {
 		return
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	buffers := intake.Allocation{Room: s.cfg.Room}
 	defer buffers.Release()
-	r := relaying{
-		s:        s,
-		from:     from,
-		request:  request,
-		received: clock.SinceBoot(),
-		ch:       ch,
-	}
 	if s.draining.Load() || !s.places.take() {
 		r.refuse(RelayBusy)
 		return
 	}
 	defer s.places.release()
-	if !buffers.Take(int64(len(request.Body) + relayChunkBytes)) {
+	if !buffers.Take(int64(len(r.request.Body) + relayChunkBytes)) {
 		r.refuse(RelayBusy)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, time.Duration(request.TimeoutMillis)*time.Millisecond, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, r.deadline-clock.SinceBoot(), errDeadline)
 	defer cancel()
 	go func() {
 		// The other node sends nothing more. The end of the channel is all that there is to read.
@@ -64,11 +64,50 @@
 	s       *Server
 	from    fleet.NodeID
 	request RelayRequest
-	// received is when the request came, on the boot clock.
+	// received is when the request came, deadline when its time ends, both on the boot clock.
 	received time.Duration
+	deadline time.Duration
 	ch       *wire.Channel
 }
 
+// receive receives the request. It returns false if there is none to send.
+func (r *relaying) receive() (ok bool, err error) {
+	if err := r.ch.Receive(&r.request); err != nil {
+		return false, err
+	}
+	// The time on the way counts: the other node reads its clock after it has got the answer.
+	ready := clock.SinceBoot()
+	r.received = ready
+	if r.request.Opens {
+		if refusal := r.s.notReady(); refusal != "" {
+			r.refuse(refusal)
+			return false, nil
+		}
+		if err := r.ch.Send(RelayResponse{Ready: true}); err != nil {
+			return false, err
+		}
+		defer time.AfterFunc(relayRequestTimeout, r.ch.Close).Stop()
+		r.request = RelayRequest{}
+		if err := r.ch.Receive(&r.request); err != nil {
+			return false, err
+		}
+	}
+	r.received = clock.SinceBoot()
+	r.deadline = ready + time.Duration(r.request.TimeoutMillis)*time.Millisecond
+	return true, nil
+}
+
+// notReady returns why the node relays nothing now, empty if it may.
+func (s *Server) notReady() RelayRefusal {
+	switch {
+	case s.Isolated():
+		return RelayIsolated
+	case s.draining.Load() || s.view.Load() == nil:
+		return RelayBusy
+	}
+	return ""
+}
+
 // line returns a line of event.RequestRelayed.
 func (r *relaying) line() *log.Entry {
 	own := uint64(0)
@@ -131,6 +170,9 @@
 	case r.outdated(instance.Service):
 		r.refuse(RelayOutdated)
 		return
+	case clock.SinceBoot() >= r.deadline:
+		r.refuse(RelayExpired)
+		return
 	}
 	placed := &placement.Assignment{Instance: instance}
 	in, err := s.conns.Do(ctx, r.outgoing(placed))
@@ -141,6 +183,9 @@
 		s.conns.Retire(backendInstance(instance))
 		_ = r.ch.Send(RelayResponse{Error: newRelayError(err)})
 		return
+	case eris.Is(err, backend.ErrExpired):
+		r.refuse(RelayExpired)
+		return
 	case r.outdated(instance.Service):
 		r.refuse(RelayOutdated)
 		return
@@ -165,6 +210,10 @@
 }
 
 func (r *relaying) outgoing(placed *placement.Assignment) backend.Outgoing {
+	if r.request.Header == nil {
+		r.request.Header = http.Header{}
+	}
+	r.s.cfg.Protocol.SetTimeout(r.request.Header, r.deadline-clock.SinceBoot())
 	return backend.Outgoing{
 		Instance:   backendInstance(placed.Instance),
 		Method:     r.request.Method,
@@ -173,6 +222,7 @@
 		Header:     r.request.Header,
 		Body:       r.request.Body,
 		AtMostOnce: r.request.AtMostOnce,
+		Deadline:   r.deadline,
 		Match: func(status int, header http.Header) backend.Match {
 			return r.s.cfg.Protocol.Match(r.request.Request, status, header)
 		},
