--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -143,7 +143,12 @@
 
 // hang listens with a queue that is full, so that the kernel drops further connects.
 func (p *path) hang() {
-	_ = unix.Listen(p.backlog, 0)
+	// Open connections of the path have the port too.
+	_ = unix.SetsockoptInt(p.backlog, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Listen(p.backlog, 0); err != nil {
+		p.t.Errorf("let the connects of a path hang: %v", err)
+	}
+	_ = unix.SetsockoptInt(p.backlog, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0)
 	filler, err := net.Dial("tcp", p.address.String())
 	if err == nil {
 		p.fillers = append(p.fillers, filler)
