--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,6 +136,7 @@
 	h.workers.Wait()
 	h.audit.checkTotals(faultsCleared)
 	h.checkFinalConfiguration()
+	h.checkContents()
 }
 
 // watchProcesses reports processes that exit by themselves.
