Revert the distinction of nodes that are late from nodes that are cut off

Cause: the premise was wrong. A relayed request crosses the node's link as often as one that the node sends itself, and takes a stream of a connection that is open. The node's own connects go on timing out in the meantime, for 0.7 s each, and the requests wait for them. That a node on a full link counts as cut off serves its callers better; what made it harmful were the old decisions and the time on the way, which the relay compares now.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -83,7 +83,6 @@
 	// idleLimits is the maximum number of idle connections to each instance.
 	idleLimits map[Instance]int
 	observer   ConnectObserver
-	reads      atomic.Uint64
 }
 
 // ConnectObserver is told of the connects to instances.
@@ -108,9 +107,6 @@
 	c.observer = observer
 }
 
-// Reads returns how often data has come from an instance.
-func (c *ConnPool) Reads() uint64 { return c.reads.Load() }
-
 // Conn is one connection. It carries at most one request at a time.
 type Conn struct {
 	instance    Instance
@@ -336,7 +332,6 @@
 	guard := &headGuard{
 		Conn:   raw,
 		limits: c.limits,
-		reads:  &c.reads,
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/backend/guard.go
+++ b/backend/guard.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"net"
-	"sync/atomic"
 )
 
 // Part is the part of a response that exceeded a limit.
@@ -86,8 +85,6 @@
 	fields  int64
 	// received counts the bytes since the latest request.
 	received int64
-	// reads counts the reads that brought data, of all connections of the pool.
-	reads *atomic.Uint64
 }
 
 // startHead begins a head.
@@ -100,9 +97,6 @@
 func (g *headGuard) Read(p []byte) (int, error) {
 	n, err := g.Conn.Read(p)
 	g.received += int64(n)
-	if n > 0 && g.reads != nil {
-		g.reads.Add(1)
-	}
 	if !g.reading || n == 0 {
 		return n, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 	s.claims = newClaimRegistry(cfg, s.peers)
 	s.permits = newPermits(cfg, s.claims)
 	s.origins = newOrigins(cfg)
-	s.paths = newPaths(s)
+	s.paths = newPaths(ctx, cfg, s.askIsolatedPeers, s.alone)
 	s.conns.Observe(s.paths)
 	s.quarantine = quarantine.NewMonitor(quarantine.MonitorConfig{
 		Trial: func(part routing.PartID) bool {
--- a/gateway/isolatedpeers.go
+++ b/gateway/isolatedpeers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 
 	"github.com/waxwingreel/waxwingreel/isolation"
 )
@@ -46,29 +44,6 @@
 	}
 }
 
-// askOthers asks some other nodes for a sign of life, and returns how many it asked and how many gave one in the time of a
-// probe. What they say does not matter.
-func (s *Server) askOthers() (asked, answered int) {
-	if s.cfg.Peers == nil {
-		return 0, 0
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, isolation.ProbeTimeout)
-	defer cancel()
-	others := s.peers.sample(maxRelays)
-	count, asking := atomic.Int64{}, sync.WaitGroup{}
-	for _, other := range others {
-		asking.Go(func() {
-			ch, _, err := s.askReady(ctx, other, "")
-			if err == nil {
-				ch.Close()
-				count.Add(1)
-			}
-		})
-	}
-	asking.Wait()
-	return len(others), int(count.Load())
-}
-
 // alone reports whether no other node would relay for this one.
 func (s *Server) alone() bool {
 	return s.cfg.Peers == nil || len(s.peers.relays(s.cfg.DataCentre, 1)) == 0
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -28,9 +28,6 @@
 	stillIsolated func()
 	// alone reports whether no other node would relay.
 	alone func() bool
-	// reads counts how often data has come from an instance. askOthers asks other nodes for a sign of life.
-	reads     func() uint64
-	askOthers func() (asked, answered int)
 
 	mu       sync.Mutex
 	detector isolation.Detector
@@ -47,15 +44,12 @@
 	evacuated evacuation.List
 }
 
-// newPaths returns the paths of a server.
-func newPaths(s *Server) *paths {
+func newPaths(ctx context.Context, cfg Config, stillIsolated func(), alone func() bool) *paths {
 	return &paths{
-		cfg:           s.cfg,
-		ctx:           s.ctx,
-		stillIsolated: s.askIsolatedPeers,
-		alone:         s.alone,
-		reads:         s.conns.Reads,
-		askOthers:     s.askOthers,
+		cfg:           cfg,
+		ctx:           ctx,
+		stillIsolated: stillIsolated,
+		alone:         alone,
 		unreached:     map[fleet.BackendServerID]bool{},
 	}
 }
@@ -156,15 +150,12 @@
 // probe connects to instances and ends the round.
 func (p *paths) probe(instances []routing.Instance) {
 	found := make([]backend.Reachability, len(instances))
-	before := p.reads()
-	round := isolation.Round{Alone: p.alone()}
 	probes := sync.WaitGroup{}
-	probes.Go(func() { round.OthersAsked, round.OthersAnswered = p.askOthers() })
 	for n, i := range instances {
 		probes.Go(func() { found[n] = backend.Reach(p.ctx, i.Address, isolation.ProbeTimeout) })
 	}
 	probes.Wait()
-	round.Heard = p.reads() != before
+	round := isolation.Round{Alone: p.alone()}
 	var failed []fleet.BackendServerID
 	for n, i := range instances {
 		if found[n] == backend.Reached {
@@ -198,9 +189,6 @@
 	round.Untried = len(p.unreached) < min(len(p.mayProbe()), isolation.TriedAlone)
 	p.detector.EndRound(round, clock.SinceBoot())
 	p.stateChanged(round)
-	if round.Late() {
-		p.log("late", round)
-	}
 	if p.detector.Isolated() {
 		time.AfterFunc(isolation.RoundInterval, p.recheck)
 		p.stillIsolated()
@@ -217,21 +205,14 @@
 	if isolated {
 		state = "begun"
 	}
-	p.log(state, round)
-	p.cfg.Control.SendHeartbeat()
-}
-
-func (p *paths) log(state string, round isolation.Round) {
 	p.cfg.Log.Warn(event.NodeIsolated).
 		Str("state", state).
 		Int("connected", round.Connected).
 		Int("failed", round.Failed).
 		Int("unanswered", round.Unanswered).
-		Bool("heard", round.Heard).
-		Int("othersAsked", round.OthersAsked).
-		Int("othersAnswered", round.OthersAnswered).
 		Int("listed", len(p.instances)).
-		Msg("this node is cut off from the instances, or no longer, or only late; while it is cut off, requests go through other nodes")
+		Msg("this node is cut off from the instances, or no longer; requests go through other nodes meanwhile")
+	p.cfg.Control.SendHeartbeat()
 }
 
 // awaitRound waits for the end of the round in progress, if any, and reports whether the node is
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -127,24 +126,6 @@
 	return found
 }
 
-// sample returns up to n other nodes at random, whether they respond or not.
-func (p *peers) sample(n int) []relayNode {
-	p.ownerSet()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var others []relayNode
-	for node, address := range p.wireAddresses {
-		if node != p.node {
-			others = append(others, relayNode{
-				node:    node,
-				address: address,
-			})
-		}
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(n, len(others))]
-}
-
 func (p *peers) isIsolated(node fleet.NodeID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/isolation/isolation.go
+++ b/isolation/isolation.go
@@ -11,11 +11,6 @@
 // Servers that accept connections and do not respond are not considered: a sound one may fall silent for a
 // second or more.
 //
-// To a connect with a time limit, a full link and a busy processor look like a path that is gone. Then other nodes
-// are as late to answer as servers, while data from servers still comes. Such a node is late, and not cut off: its requests
-// would go over the same link to other nodes. A round that took much longer than its probes was held up, as in
-// a process that was frozen, and says nothing.
-//
 // The package is a pure state machine. All times are on the caller's clock.
 package isolation
 
@@ -34,8 +29,6 @@
 	// TriedAlone is the number of servers that have to fail, unless there are fewer, before a node is isolated
 	// that no other node relays for: it would refuse what the others could serve.
 	TriedAlone = 9
-	// maxRound is the time after which a round was held up.
-	maxRound = 2 * ProbeTimeout
 )
 
 // Detector holds what a node knows of its paths to the servers. Its zero value is ready for use. It is not
@@ -61,17 +54,6 @@
 	// latest connect, see TriedAlone.
 	Alone   bool
 	Untried bool
-	// Heard is set if data came from a server during the round. OthersAsked and OthersAnswered count the other nodes
-	// that were asked for a sign of life, and those that gave one in the time of a probe.
-	Heard          bool
-	OthersAsked    int
-	OthersAnswered int
-}
-
-// Late reports whether the node is late rather than cut off.
-func (r Round) Late() bool {
-	return r.Connected == 0 && r.Unanswered > 0 && r.Unanswered == r.Failed && r.Heard &&
-		r.OthersAsked > 0 && r.OthersAnswered == 0
 }
 
 // Isolated reports whether the node is cut off from the servers.
@@ -108,9 +90,7 @@
 	d.nextRound = now + RoundInterval
 	before := d.isolated
 	switch {
-	case r.Connected+r.Failed == 0 || now-d.roundStart > maxRound:
-	case r.Late():
-		d.isolated = false
+	case r.Connected+r.Failed == 0:
 	case d.isolated:
 		d.isolated = r.Connected <= r.Failed && !(r.Alone && r.Connected > 0)
 	default:
