Review: the stand-ins keep to the dose of a surge, to the time of start and to the lag of the list

Cause: case 8's surge lasted 9.7 s where the site's dose is 6.5 s, servers of case 10 that had crashed came back with their old time of start, and the list had no lag.

--- a/review/testdata/case2/cases.go
+++ b/review/testdata/case2/cases.go
@@ -156,12 +156,18 @@
 	if trouble {
 		times = 7
 	}
+	// The surge keeps to its time however long the answers take.
+	const surge = 6 * time.Second
 	c := &caller{record: record}
-	var replies []reply
-	for i := range usual * times {
-		replies = append(replies, c.send(f.edge(i%2), http.MethodPost, "/task/1", generation(i), "prompt"))
-		time.Sleep(6 * time.Second / time.Duration(usual*times))
+	replies := make([]reply, usual*times)
+	var callers sync.WaitGroup
+	for i := range replies {
+		callers.Go(func() {
+			time.Sleep(surge * time.Duration(i) / time.Duration(len(replies)))
+			replies[i] = c.send(f.edge(i%2), http.MethodPost, "/task/1", generation(i), "prompt")
+		})
 	}
+	callers.Wait()
 	total := consumed(replies, servers)
 	record.line("the tenant got %d tokens, its prepaid is %d", total, prepaid)
 	if total > prepaid {
@@ -379,7 +385,7 @@
 			crashes = append(crashes, time.Now())
 			mu.Unlock()
 			record.line("server %s crashes", s.id)
-			s.crash(downFor)
+			s.crash(downFor, func() { f.born(s.id) })
 		}
 		servers = append(servers, s)
 	}
--- a/review/testdata/case2/fleet.go
+++ b/review/testdata/case2/fleet.go
@@ -34,12 +34,22 @@
 	port  int
 	nodes []*node
 
-	record  *recorder
-	lister  *http.Server
-	mu      sync.Mutex
+	record *recorder
+	lister *http.Server
+	mu     sync.Mutex
+	// lists are the lists of servers that there were, the last one is true now.
+	lists []listAt
+}
+
+// listAt is a list with the time from which on it is true.
+type listAt struct {
 	servers []listed
+	at      time.Time
 }
 
+// listLag is how far the platform's list lags.
+const listLag = 800 * time.Millisecond
+
 // listed is an entry of the platform's list.
 type listed struct {
 	ID      string `json:"id"`
@@ -104,7 +114,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		found := []listed{}
-		for _, s := range f.servers {
+		for _, s := range f.lagging() {
 			if zone := r.URL.Query().Get("zone"); zone == "" || zone == s.Zone {
 				found = append(found, s)
 			}
@@ -124,7 +134,33 @@
 func (f *fleet) list(servers ...listed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.servers = servers
+	f.lists = append(f.lists, listAt{
+		servers: servers,
+		at:      time.Now(),
+	})
+}
+
+// lagging returns the list as it was some time ago. The caller holds mu.
+func (f *fleet) lagging() []listed {
+	for i := len(f.lists) - 1; i >= 0; i-- {
+		if time.Since(f.lists[i].at) >= listLag {
+			return f.lists[i].servers
+		}
+	}
+	return nil
+}
+
+// born records that a server has started again under its id.
+func (f *fleet) born(id string) {
+	f.mu.Lock()
+	servers := append([]listed(nil), f.lists[len(f.lists)-1].servers...)
+	f.mu.Unlock()
+	for i := range servers {
+		if servers[i].ID == id {
+			servers[i].Born = time.Now().UnixMilli()
+		}
+	}
+	f.list(servers...)
 }
 
 // start starts all VMs.
--- a/review/testdata/case2/server.go
+++ b/review/testdata/case2/server.go
@@ -77,10 +77,13 @@
 }
 
 // crash ends the server as a crash of its process does: it closes its connections and its listener. The server starts
-// again after a time.
-func (s *server) crash(downFor time.Duration) {
+// again after a time, and calls back.
+func (s *server) crash(downFor time.Duration, back func()) {
 	ended := s.http
-	time.AfterFunc(downFor, func() { _ = startServer(s) })
+	time.AfterFunc(downFor, func() {
+		_ = startServer(s)
+		back()
+	})
 	_ = ended.Close()
 	panic(http.ErrAbortHandler)
 }
