A server's failure is no longer handed on as a promise that nothing has run

The callers trusted the status, sent the work again, and it was done twice.

Cause: what is known of a request was asked where requests are refused, not where responses leave. Stored 5xx responses, and 408 and 429 as successes, went on with the server's status whatever the route. The node's own interface did the same with at-most-once calls, from the stored outcome too.

Change: exchange.respond is the only way out for whole responses. It answers 502 without the server's header and without Retry-After where a status would promise what is not so.

--- a/backend/match.go
+++ b/backend/match.go
@@ -18,3 +18,12 @@
 
 // Matcher compares a response with a request.
 type Matcher func(status int, header http.Header) Match
+
+// PromisesNotRun reports whether a status tells callers that the request has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -213,6 +213,11 @@
 	if replayed {
 		header.Set(HeaderReplayed, "true")
 	}
+	if !r.call.Idempotent && backend.PromisesNotRun(response.Status) {
+		refusal := unknownOutcome(http.StatusBadGateway, TypeBackendFailed, fmt.Sprintf("the call has run and the backend server responded with status %d", response.Status))
+		refusal.BilledTokens = billed
+		return r.refuse(refusal.withCause(burn.CauseBackend))
+	}
 	return r.c.Blob(response.Status, response.ContentType, response.Body)
 }
 
@@ -326,7 +331,7 @@
 		reserved := r.reserved
 		r.reserved = 0
 		r.finishInBackground(finish, reserved)
-		return r.refuse(unknownOutcome(http.StatusServiceUnavailable, TypeNotRecorded, "the call ran but its outcome could not be recorded yet").withHint("retry with the same request id to get the response").withRetry(2 * time.Second).withCause(burn.CauseUnknownOutcome))
+		return r.refuse(unknownOutcome(http.StatusBadGateway, TypeNotRecorded, "the call ran but its outcome could not be recorded yet").withHint("retry with the same request id to get the response").withRetry(2 * time.Second).withCause(burn.CauseUnknownOutcome))
 	}
 	r.release(result.Charged)
 	r.record("")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,7 +91,7 @@
 	}
 	x.attempts++
 	x.responseBegun = true
-	x.framing = in.Framing
+	x.framing, x.instanceStatus = in.Framing, in.Status
 	response := x.s.cfg.Protocol.ReadResponse(in.Status, in.Header)
 	x.s.dispatch.responseRead(x.service.ID, placed, response)
 	if response.NotRun || response.OtherInstance {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -125,6 +125,8 @@
 	// eventsBefore is the number of events delivered before the attempt.
 	responseBegun bool
 	eventsBefore  int
+	// instanceStatus is the status of the last response read, 0 if there was none.
+	instanceStatus int
 	// brokenStarts counts the instances that broke off this request before its first event.
 	brokenStarts int
 	// lastInstance, status and cause are logged when the request ends.
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -38,6 +38,8 @@
 	runs map[string]int
 	// state is a state of refusing_test.go, or nothing.
 	state atomic.Value
+	// failsWith is the status of the responses to requests that have run, 0 for success.
+	failsWith atomic.Int32
 }
 
 // ServeHTTP responds to a request, to one under /stream/ with two events.
@@ -52,6 +54,12 @@
 	in.runs[id]++
 	in.mu.Unlock()
 	w.Header().Set("Instance-Signature", "signed")
+	if status := in.failsWith.Load(); status != 0 {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(int(status))
+		_, _ = io.WriteString(w, "failed")
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(w, "done")
 		return
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -168,8 +169,9 @@
 		// The returns are spread over as long as the queue is now.
 		after = x.roomAfter + time.Duration(rand.Float64()*float64(x.roomAfter))
 	}
-	x.w.Header().Set("Retry-After", formatRetryAfter(after))
-	x.reject(http.StatusServiceUnavailable, cause)
+	response := ownResponse(http.StatusServiceUnavailable, cause)
+	response.header.Set("Retry-After", formatRetryAfter(after))
+	x.respond(response, cause)
 }
 
 // deny rejects a request for what the configuration does not have, or refuses it if the configuration
@@ -184,23 +186,38 @@
 
 // reject responds with an error status and the cause as JSON.
 func (x *exchange) reject(status int, cause Cause) {
-	x.status = status
-	x.cause = cause
-	x.closeConnection()
-	x.w.Header().Set("Content-Type", "application/json")
-	body := `{"error":"` + string(cause) + `"}`
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(status)
-	_, _ = x.w.Write([]byte(body))
-	x.complete = true
-	x.logEnd(nil)
+	x.respond(ownResponse(status, cause), cause)
+}
+
+// ownResponse returns a response of this node.
+func ownResponse(status int, cause Cause) bufferedResponse {
+	return bufferedResponse{
+		status: status,
+		header: http.Header{"Content-Type": {"application/json"}},
+		body:   []byte(`{"error":"` + string(cause) + `"}`),
+	}
 }
 
 // deliver sends an instance's complete response to the caller.
 func (x *exchange) deliver(response bufferedResponse, cause Cause) {
+	header := http.Header{}
+	x.s.cfg.Protocol.Deliver(header, response.header)
+	response.header = header
+	x.s.observeFirstByte(x)
+	x.respond(response, cause)
+}
+
+// respond ends the exchange with a whole response. All responses but streams leave through it, with the status and the
+// header of one source.
+func (x *exchange) respond(response bufferedResponse, cause Cause) {
+	if x.mayHaveRun && !x.route.Repeatable() && backend.PromisesNotRun(response.status) {
+		// The caller would send the request again, and its work would be done twice.
+		cause = CauseInstanceFailed
+		response = ownResponse(http.StatusBadGateway, cause)
+	}
 	x.status = response.status
 	x.cause = cause
-	x.s.cfg.Protocol.Deliver(x.w.Header(), response.header)
+	maps.Copy(x.w.Header(), response.header)
 	x.closeConnection()
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
@@ -208,7 +225,6 @@
 	x.w.WriteHeader(response.status)
 	_, err := x.w.Write(response.body)
 	x.complete = err == nil
-	x.s.observeFirstByte(x)
 	x.logEnd(err)
 }
 
@@ -275,6 +291,7 @@
 		Str("identity", string(x.identity)).
 		Str("instance", string(p.Instance.ID)).
 		Str("outcome", string(causeOf(result))).
+		Int("instanceStatus", x.instanceStatus).
 		Str("relayedBy", string(x.relayedBy)).
 		Int("attempts", x.attempts).
 		Int64("leftMillis", (x.deadline-clock.SinceBoot()).Milliseconds()).
@@ -327,6 +344,7 @@
 		Str("workspace", workspace).
 		Uint64("version", version).
 		Int("status", x.status).
+		Int("instanceStatus", x.instanceStatus).
 		Str("cause", string(x.cause)).
 		Str("identity", string(x.identity)).
 		Str("instance", string(x.lastInstance)).
