Routes stay closed once the last workspace is taken out

Cause: a configuration without the field asks for no keys, one with an empty list has no valid key. ParseDocument kept only the list, and View.KeysNeeded inferred the statement from its length.

Entry VMs of earlier builds, which do not announce the field, get a workspace without keys in its place.

--- a/control/delta_test.go
+++ b/control/delta_test.go
@@ -86,9 +86,20 @@
 			t.Errorf("%s: got %d bytes (%v), want %d at the most", test.name, len(body), err, maxBytes)
 		}
 	}
+	// A node that does not know KeysRequired must not take it for open routes.
+	config.Version, config.KeysRequired = 5, true
+	r.machine.routingHistory.Advance(config)
+	r.machine.routing.Config = config
+	old := &subscriber{
+		routingVersion: 4,
+		routingDeltas:  true,
+	}
+	if whole, _ := r.newerRouting(old); whole == nil || len(whole.Workspaces) == 0 {
+		t.Errorf("got configuration %+v for a node of an earlier version, want one with a workspace that has no keys", whole)
+	}
 	// A change that the history has missed.
-	r.machine.routing.Config.Version = 5
-	if whole, delta := r.newerRouting(&subscriber{routingVersion: 4, routingDeltas: true}); whole == nil || delta != nil {
+	r.machine.routing.Config.Version = 6
+	if whole, delta := r.newerRouting(&subscriber{routingVersion: 5, routingDeltas: true}); whole == nil || delta != nil {
 		t.Error("got no whole configuration from a replica that does not know the latest change")
 	}
 }
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -178,6 +178,8 @@
 	Probe bool `json:"probe,omitempty"`
 	// RoutingDeltas is set by nodes that read Update.RoutingDelta.
 	RoutingDeltas bool `json:"routingDeltas,omitempty"`
+	// KeysRequired is set by nodes that read the field of that name of a routing configuration.
+	KeysRequired bool `json:"keysRequired,omitempty"`
 	// WholeRouting requests the whole routing configuration, in the version that the node has or a later one.
 	WholeRouting bool `json:"wholeRouting,omitempty"`
 	// Sent is the node's boot clock when it sent the heartbeat, in nanoseconds. Updates repeat it.
--- a/control/versions.go
+++ b/control/versions.go
@@ -39,6 +39,10 @@
 // since that one.
 func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
 	c := r.machine.routing.Config
+	if !s.keysRequired && c.KeysRequired {
+		c = c.ForEarlierVersions()
+		s.wholeRouting = s.wholeRouting || c.Version > s.routingVersion
+	}
 	if s.wholeRouting {
 		s.wholeRouting = false
 		return &c, nil
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -251,6 +251,7 @@
 		Probe:       probe,
 
 		RoutingDeltas: true,
+		KeysRequired:  true,
 		WholeRouting:  c.wholeWanted.Load(),
 		Sent:          int64(clock.SinceBoot()),
 	}
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -79,6 +79,7 @@
 		line.Uint64("version", uint64(config.Version)).
 			Int("routes", len(config.Routes)).
 			Int("workspaces", len(config.Workspaces)).
+			Bool("keysNeeded", view.KeysNeeded()).
 			Str("digest", view.Digest.String()).
 			Msg("configuration of routed requests in force")
 		if watcher != nil {
--- a/gateway/outdated_test.go
+++ b/gateway/outdated_test.go
@@ -54,6 +54,7 @@
 			Keys: []string{"k"},
 		}}
 	},
+	"no key is valid": func(c *routing.Config) { c.KeysRequired = true },
 }
 
 // TestRelayRunsByOldConfiguration sends requests to a node that is cut off and has an old configuration, while the node
@@ -116,6 +117,7 @@
 	"routes are gone":                http.StatusNotFound,
 	"routes lead to another service": http.StatusOK,
 	"keys are needed":                http.StatusUnauthorized,
+	"no key is valid":                http.StatusUnauthorized,
 }
 
 // TestRefusedRequestIsDecidedByOldConfiguration gives a node that is cut off the newest configuration while a request is with
--- a/routing/config.go
+++ b/routing/config.go
@@ -41,7 +41,19 @@
 	Routes     []Route     `json:"routes"`
 	Services   []Service   `json:"services"`
 	Workspaces []Workspace `json:"workspaces,omitempty"`
-	Limits     Limits      `json:"limits"`
+	// KeysRequired is set if routes that are not public require a key although there is no workspace, so that no key
+	// is valid. It is not set beside workspaces, which say the same. Configurations of earlier versions never have it.
+	KeysRequired bool   `json:"keysRequired,omitempty"`
+	Limits       Limits `json:"limits"`
+}
+
+// ForEarlierVersions returns the configuration in a form that means the same to nodes which do not know KeysRequired: a
+// workspace without keys takes its place.
+func (c Config) ForEarlierVersions() Config {
+	if c.KeysRequired {
+		c.Workspaces = []Workspace{{ID: "none"}}
+	}
+	return c
 }
 
 // Route routes the requests to one host whose path begins with Prefix to services.
--- a/routing/decision.go
+++ b/routing/decision.go
@@ -33,10 +33,10 @@
 	return workspace == d.Workspace && (workspace != "" || route.Public || !v.KeysNeeded())
 }
 
-// AllowsService reports whether a path of a host leads to a service.
+// AllowsService reports whether a path of a host leads to a service for any key, or without one.
 func (v *View) AllowsService(host, path string, service fleet.ServiceID) bool {
 	route := v.Match(host, path)
-	return route != nil && route.leadsTo(service)
+	return route != nil && route.leadsTo(service) && (route.Public || !v.KeysNeeded() || len(v.workspaces) > 0)
 }
 
 // leadsTo reports whether the route sends requests to a service.
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -38,9 +38,28 @@
 			Keys: []string{fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key")+3*i)},
 		})
 	}
+	c.KeysRequired = len(c.Workspaces) == 0 && rapid.Bool().Draw(t, "keysRequired")
 	return NewView(c)
 }
 
+// TestEarlierRelayOpensRoutes guards against requests that nodes of earlier versions relay, without their key, where no key is
+// valid any more.
+func TestEarlierRelayOpensRoutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawDecisive(t)
+		path := rapid.SampledFrom([]string{"/x", "/a/x"}).Draw(t, "path")
+		want := false
+		for _, key := range []string{"", "k0", "k1", "k2", "k3", "k4", "k5"} {
+			d, ok := decide(v, path, key, "id")
+			d.Service = "s1"
+			want = want || ok && v.Allows(d)
+		}
+		if got := v.AllowsService("host", path, "s1"); got != want {
+			t.Fatalf("got the service of %q allowed %t, want %t", path, got, want)
+		}
+	})
+}
+
 // decide decides a request as a node does. It returns false if the configuration has no such route or key.
 func decide(v *View, path, key string, id RequestID) (d Decision, ok bool) {
 	route := v.Match("host", path)
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -24,7 +24,9 @@
 	Routes     Changes[Match, Route]                 `json:"routes,omitzero"`
 	Services   Changes[fleet.ServiceID, Service]     `json:"services,omitzero"`
 	Workspaces Changes[fleet.WorkspaceID, Workspace] `json:"workspaces,omitzero"`
-	Limits     Limits                                `json:"limits"`
+	// KeysRequired and Limits are those of the version To.
+	KeysRequired bool   `json:"keysRequired,omitempty"`
+	Limits       Limits `json:"limits"`
 }
 
 // Changes has the parts that were added or changed, whole, and the keys of those that were removed.
@@ -55,7 +57,9 @@
 		Routes:     d.Routes.apply(c.Routes, Route.match),
 		Services:   d.Services.apply(c.Services, Service.id),
 		Workspaces: d.Workspaces.apply(c.Workspaces, Workspace.id),
-		Limits:     d.Limits,
+
+		KeysRequired: d.KeysRequired,
+		Limits:       d.Limits,
 	}, true
 }
 
@@ -127,7 +131,7 @@
 
 // Advance records the next configuration.
 func (h *History) Advance(next Config) {
-	h.digest += digestOf(next.Limits) - digestOf(h.current.Limits) +
+	h.digest += next.statementDigest() - h.current.statementDigest() +
 		h.routes.advance(h.current.Routes, next.Routes, next.Version) +
 		h.services.advance(h.current.Services, next.Services, next.Version) +
 		h.workspaces.advance(h.current.Workspaces, next.Workspaces, next.Version)
@@ -158,7 +162,9 @@
 		Routes:     h.routes.since(h.current.Routes, version),
 		Services:   h.services.since(h.current.Services, version),
 		Workspaces: h.workspaces.since(h.current.Workspaces, version),
-		Limits:     h.current.Limits,
+
+		KeysRequired: h.current.KeysRequired,
+		Limits:       h.current.Limits,
 	}
 	h.deltas[version] = d
 	return d, true
--- a/routing/delta_test.go
+++ b/routing/delta_test.go
@@ -44,6 +44,7 @@
 			Keys: []string{fmt.Sprint(weight)},
 		})
 	}
+	c.KeysRequired = len(c.Workspaces) == 0 && rapid.Bool().Draw(t, "keysRequired")
 	return c
 }
 
--- a/routing/digest.go
+++ b/routing/digest.go
@@ -14,9 +14,23 @@
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
 
-// Digest returns the digest of the routes, services, workspaces and limits. The version is not part of it.
+// Digest returns the digest of the routes, services, workspaces and limits, and of whether keys are required. The version is not part of it.
 func (c Config) Digest() Digest {
-	return digestOf(c.Limits) + digestParts(c.Routes) + digestParts(c.Services) + digestParts(c.Workspaces)
+	return c.statementDigest() + digestParts(c.Routes) + digestParts(c.Services) + digestParts(c.Workspaces)
+}
+
+// statementDigest returns the digest of what the configuration states as a whole. It is that of earlier versions unless
+// keys are required without workspaces.
+func (c Config) statementDigest() Digest {
+	return statementDigest(c.Limits, c.KeysRequired)
+}
+
+func statementDigest(limits Limits, keysRequired bool) Digest {
+	d := digestOf(limits)
+	if keysRequired {
+		d += digestOf(keysRequired)
+	}
+	return d
 }
 
 func digestParts[T any](parts []T) Digest {
@@ -41,7 +55,7 @@
 
 // digestAfter returns the digest of a configuration with the delta applied, given the one before.
 func (d Delta) digestAfter(c Config, before Digest) Digest {
-	return before + digestOf(d.Limits) - digestOf(c.Limits) +
+	return before + statementDigest(d.Limits, d.KeysRequired) - c.statementDigest() +
 		d.Routes.digestChange(c.Routes, Route.match) +
 		d.Services.digestChange(c.Services, Service.id) +
 		d.Workspaces.digestChange(c.Workspaces, Workspace.id)
--- a/routing/view.go
+++ b/routing/view.go
@@ -79,7 +79,7 @@
 
 // KeysNeeded reports whether routes that are not public require a key.
 func (v *View) KeysNeeded() bool {
-	return len(v.Config.Workspaces) > 0
+	return v.Config.KeysRequired || len(v.Config.Workspaces) > 0
 }
 
 // Workspace returns the workspace that holds a key, or nil.
