Budgets are charged what is written to callers, whole answers too

Cause: output was charged by the events of streams, which one path counted. Whole answers, bodies that are not of events, and answers that a caller left halfway cost the prompt alone, or one event. Requests without Token-Usage cost nothing.

Change: what is about to be written is counted in one place, by streams and whole responses alike: events by the stride of the service, any other body as the most that the request allows. A request to a model service without its size is reserved as it is served.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,8 @@
 	resultTimeout
 	// resultNoPath means that nothing was sent, since the node is isolated and no other relays.
 	resultNoPath
+	// resultUnpaid means that the budget does not cover the response. The exchange has ended.
+	resultUnpaid
 	// resultOutdated means that nothing was sent, since a newer configuration does not allow the request.
 	resultOutdated
 )
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -55,6 +55,8 @@
 	arrived  time.Duration
 	deadline time.Duration
 	reserved fleet.Tokens
+	// delivered is the most output tokens that the caller may have got by now.
+	delivered fleet.Tokens
 	// shortage is why quota could not be reserved, nil if it could.
 	shortage *quota.Shortage
 	// mayHaveRun is set once an instance may have started to execute the request.
@@ -268,66 +270,6 @@
 	return true
 }
 
-// metered reports whether the request is charged to a prepaid budget.
-func (x *exchange) metered() bool {
-	return x.workspace != nil && x.workspace.Prepaid != nil && x.request.MaxCost() > 0
-}
-
-// reserve reserves quota for the request's maximum cost, or refuses the request.
-func (x *exchange) reserve() bool {
-	if !x.metered() {
-		return true
-	}
-	quotaManager := x.s.quotaManager.Load()
-	if quotaManager == nil {
-		x.refuse(CauseNoQuota)
-		return false
-	}
-	cost := x.request.MaxCost()
-	shortage := quotaManager.Reserve(x.ctx, fleet.BudgetID(x.workspace.ID), cost)
-	if shortage == nil {
-		x.reserved = cost
-		return true
-	}
-	x.shortage = shortage
-	switch {
-	case x.r.Context().Err() != nil:
-		x.logDisconnect()
-		return false
-	case shortage.Exhausted && !shortage.Last.Unknown:
-		x.reject(http.StatusPaymentRequired, CauseBudgetSpent)
-		return false
-	}
-	x.refuse(CauseNoQuota)
-	return false
-}
-
-// release ends the reservation. It charges the prompt, if the request may have run, and
-// the output that was delivered.
-func (x *exchange) release() {
-	if x.reserved == 0 {
-		return
-	}
-	x.s.quotaManager.Load().Release(fleet.BudgetID(x.workspace.ID), x.reserved, x.charge())
-}
-
-// charge returns what the request costs by now.
-func (x *exchange) charge() fleet.Tokens {
-	if x.reserved == 0 || !x.chargeable {
-		return 0
-	}
-	return min(x.request.Prompt+min(x.request.MaxOutput, fleet.Tokens(x.events)*x.tokensPerEvent()), x.reserved)
-}
-
-// tokensPerEvent returns the output tokens charged per event: all of the maximum if the
-// service does not set a number.
-func (x *exchange) tokensPerEvent() fleet.Tokens {
-	if x.service.Engine == nil || x.service.Engine.EventTokens == 0 {
-		return x.request.MaxOutput
-	}
-	return x.service.Engine.EventTokens
-}
-
 // run makes attempts until the caller has a response or no further attempt is allowed.
 func (x *exchange) run() {
 	for {
@@ -348,7 +290,7 @@
 		}
 		x.logPlaced(placed, listAge)
 		result, err := x.attempt(placed)
-		if result == resultDelivered || result == resultCallerDisconnected {
+		if result == resultDelivered || result == resultCallerDisconnected || result == resultUnpaid {
 			return
 		}
 		x.logAttempt(placed, result, err)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -200,6 +200,10 @@
 
 // deliver sends an instance's complete response to the caller.
 func (x *exchange) deliver(response bufferedResponse, cause Cause) {
+	if !x.countBody(response) {
+		x.endUnpaid()
+		return
+	}
 	header := http.Header{}
 	x.s.cfg.Protocol.Deliver(header, response.header)
 	response.header = header
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,6 +40,12 @@
 			return x.endForeignAttempt(placed, eris.Wrapf(errNotContinued, "its first event has id %q, the caller has events up to %q", events.firstID, x.lastEvent))
 		}
 		if len(chunk) > 0 {
+			if !x.countOutput(in.Header, events.eventCount, len(chunk)) {
+				in.Finish(false)
+				x.attemptEnded(placed, placement.OutcomeNeutral)
+				x.endUnpaid()
+				return resultUnpaid, nil
+			}
 			if !x.headerSent {
 				x.sampleSpeed(placed, response.Load)
 				x.responseStarted(placed, response.Load)
--- a/routing/request.go
+++ b/routing/request.go
@@ -45,6 +45,11 @@
 	Resumes RequestID
 }
 
+// Sized reports whether the request says how many tokens it may consume.
+func (r Request) Sized() bool {
+	return r.MaxCost() > 0
+}
+
 // MaxCost returns the maximum number of tokens that the request may consume.
 func (r Request) MaxCost() fleet.Tokens {
 	return r.Prompt + r.MaxOutput
