What is consumed without a total counts against one that comes later

Cause: consumption was recorded as a by-product of limiting it: VMs leased and reported, and the ledger had an account, only for workspaces with a total.

Change: a workspace without a total has a budget with one that nobody reaches, on the same path of leases, limits and reports. Its leases follow the spending alone. Where the ledger does not answer, VMs serve beyond the lease, and lease and report that afterwards. The ledger reckons as before; entry VMs of earlier builds get such workspaces without a total.

--- a/control/delta_test.go
+++ b/control/delta_test.go
@@ -97,9 +97,25 @@
 	if whole, _ := r.newerRouting(old); whole == nil || len(whole.Workspaces) == 0 {
 		t.Errorf("got configuration %+v for a node of an earlier version, want one with a workspace that has no keys", whole)
 	}
+	// Nor must it lease a part of a total that is none.
+	unlimited := routing.UnlimitedPrepaid
+	config.Version, config.KeysRequired = 6, false
+	config.Workspaces = []routing.Workspace{{
+		ID:      "w",
+		Prepaid: &unlimited,
+	}}
+	r.machine.routingHistory.Advance(config)
+	r.machine.routing.Config = config
+	old.routingVersion = 5
+	if whole, _ := r.newerRouting(old); whole == nil || whole.Workspaces[0].Prepaid != nil {
+		t.Errorf("got configuration %+v for a node of an earlier version, want one whose workspace has no total", whole)
+	}
+	if config.Workspaces[0].Prepaid == nil {
+		t.Error("the replica's own configuration has changed")
+	}
 	// A change that the history has missed.
-	r.machine.routing.Config.Version = 6
-	if whole, delta := r.newerRouting(&subscriber{routingVersion: 5, routingDeltas: true}); whole == nil || delta != nil {
+	r.machine.routing.Config.Version = 7
+	if whole, delta := r.newerRouting(&subscriber{routingVersion: 6, routingDeltas: true, routingForm: RoutingForm}); whole == nil || delta != nil {
 		t.Error("got no whole configuration from a replica that does not know the latest change")
 	}
 }
--- a/control/protocol.go
+++ b/control/protocol.go
@@ -178,8 +178,9 @@
 	Probe bool `json:"probe,omitempty"`
 	// RoutingDeltas is set by nodes that read Update.RoutingDelta.
 	RoutingDeltas bool `json:"routingDeltas,omitempty"`
-	// KeysRequired is set by nodes that read the field of that name of a routing configuration.
-	KeysRequired bool `json:"keysRequired,omitempty"`
+	// RoutingForm is the latest form of a routing configuration that the node reads: from 1 on it knows
+	// routing.Config.KeysRequired and routing.UnlimitedPrepaid.
+	RoutingForm int `json:"routingForm,omitempty"`
 	// WholeRouting requests the whole routing configuration, in the version that the node has or a later one.
 	WholeRouting bool `json:"wholeRouting,omitempty"`
 	// Sent is the node's boot clock when it sent the heartbeat, in nanoseconds. Updates repeat it.
--- a/control/serve.go
+++ b/control/serve.go
@@ -178,8 +178,8 @@
 	// it waits for the whole one; only the replica's goroutine accesses it.
 	routingDeltas bool
 	wholeRouting  bool
-	// keysRequired is whether the node reads that field of a routing configuration.
-	keysRequired bool
+	// routingForm is the form of a routing configuration that the node reads.
+	routingForm int
 	// evacuations is the number of the list of evacuated data centres that was last sent.
 	evacuations uint64
 	// instancesNumber is the number of the instance list that was last sent.
@@ -217,7 +217,7 @@
 		catalogVersion: first.Report.Version,
 		routingVersion: first.Routing,
 		routingDeltas:  first.RoutingDeltas,
-		keysRequired:   first.KeysRequired,
+		routingForm:    first.RoutingForm,
 		evacuations:    first.Evacuations,
 		recalls:        make(chan []ledger.Recall, 64),
 		sendFull:       true,
--- a/control/versions.go
+++ b/control/versions.go
@@ -35,20 +35,26 @@
 	}
 }
 
+// RoutingForm is the form of a routing configuration that this version reads.
+const RoutingForm = 1
+
 // newerRouting returns the routing configuration if the subscriber has an earlier one, or only what changed
 // since that one.
 func (r *Replica) newerRouting(s *subscriber) (*routing.Config, *routing.Delta) {
 	c := r.machine.routing.Config
-	if !s.keysRequired && c.KeysRequired {
-		c = c.ForEarlierVersions()
-		s.wholeRouting = s.wholeRouting || c.Version > s.routingVersion
+	whole := s.wholeRouting
+	s.wholeRouting = false
+	if !whole && c.Version <= s.routingVersion {
+		return nil, nil
 	}
-	if s.wholeRouting {
-		s.wholeRouting = false
-		return &c, nil
+	if s.routingForm < RoutingForm {
+		// A change would have parts in the later form.
+		var changed bool
+		c, changed = c.ForEarlierVersions()
+		whole = whole || changed
 	}
-	if c.Version <= s.routingVersion {
-		return nil, nil
+	if whole {
+		return &c, nil
 	}
 	if s.routingDeltas {
 		if delta, ok := r.machine.routingHistory.Since(s.routingVersion); ok && delta.To == c.Version {
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -251,7 +251,7 @@
 		Probe:       probe,
 
 		RoutingDeltas: true,
-		KeysRequired:  true,
+		RoutingForm:   control.RoutingForm,
 		WholeRouting:  c.wholeWanted.Load(),
 		Sent:          int64(clock.SinceBoot()),
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -277,12 +277,16 @@
 	if quotaManager == nil || view == nil {
 		return
 	}
-	var budgets []fleet.BudgetID
+	var budgets, unlimited []fleet.BudgetID
 	for _, w := range view.Config.Workspaces {
+		if w.Unlimited() {
+			unlimited = append(unlimited, fleet.BudgetID(w.ID))
+		}
 		if w.Prepaid != nil && s.holdsBudget(fleet.BudgetID(w.ID)) {
 			budgets = append(budgets, fleet.BudgetID(w.ID))
 		}
 	}
+	quotaManager.SetUnlimited(unlimited)
 	quotaManager.SetHeldBudgets(int64(lease.MeteredPerMille/min(s.entryNodeCount(), holdersPerBudget)), budgets)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -80,6 +80,7 @@
 		gauge("leased_free_tokens", float64(sum.Free))
 		gauge("leased_reserved_tokens", float64(sum.Reserved))
 		gauge("leased_borrowed_tokens", float64(sum.Borrowed))
+		gauge("overdrawn_tokens", float64(quotaManager.Overdrawn()))
 	}
 }
 
--- a/lease/metered.go
+++ b/lease/metered.go
@@ -92,6 +92,9 @@
 	p.held = map[fleet.BudgetID]bool{}
 	for _, id := range budgets {
 		p.held[id] = true
+		if p.unlimited[id] && p.budgets[id] == nil {
+			continue
+		}
 		p.quota(id, now).changeRequested = true
 	}
 }
@@ -172,9 +175,10 @@
 	change := p.newChange(id, q)
 	p.setLimit(q, change, p.bridged(q), now)
 	change.Need = max(q.need-q.free, 0)
-	if q.last.Seq == 0 {
+	if q.last.Seq == 0 && !q.unlimited {
 		change.Want = math.MaxInt64 / 4
 		change.HoldPerMille = max(p.holdPerMille/minHoldDivisor, 1)
+		q.coverOverdraft(change)
 		return change
 	}
 	target := p.meteredTarget(q, now)
@@ -187,6 +191,7 @@
 		change.Returned = own - target
 		q.free -= change.Returned
 	}
+	q.coverOverdraft(change)
 	return change
 }
 
@@ -209,6 +214,7 @@
 	p.setLimit(q, change, 0, now)
 	change.Need = max(q.need-q.free, 0)
 	change.Want = change.Need
+	q.coverOverdraft(change)
 	return change
 }
 
@@ -243,7 +249,8 @@
 // the process is killed, but makes a workspace that sends more than usual wait for the next change
 // sooner. The limit of an idle budget does not rise, because no further change may follow.
 //
-// Quota that is borrowed and free is spent before the lease, so it is no part of the change's limit.
+// Quota that is borrowed and free is spent before the lease, so it is no part of the change's limit. What was overdrawn and
+// is not reported yet is.
 func (p *Pool) setLimit(q *quota, change *ledger.LeaseChange, target fleet.Tokens, now time.Duration) {
 	q.decayMetered(now)
 	allowed := max(min(fleet.Tokens(q.rate*limitHeadroom.Seconds()), target), q.need, min(q.waiting, q.free))
@@ -252,11 +259,11 @@
 		allowed, slope = max(target, q.need, min(q.waiting, q.free)), 0
 	}
 	q.pendingLimit = &spendLimit{
-		level: q.used + allowed + min(q.borrowed, q.free),
+		level: q.used + allowed + min(q.borrowed, max(q.free, 0)),
 		slope: slope,
 		at:    now,
 	}
-	change.Limit = allowed + q.reserved
+	change.Limit = allowed + q.reserved + q.spent
 	change.Slope = slope
 	change.At = now
 }
@@ -296,13 +303,19 @@
 		return minimum
 	}
 	// A total that was lowered may leave less than nothing.
-	left := max(min(float64(p.ownPart(q))/q.slowRate/scarceTime.Seconds(), 1), 0)
+	left := 1.0
+	if !q.unlimited {
+		left = max(min(float64(p.ownPart(q))/q.slowRate/scarceTime.Seconds(), 1), 0)
+	}
 	span := max(time.Duration(float64(p.cfg.Partition)*left*left*left*left), minBridge)
 	return max(fleet.Tokens(rate*span.Seconds()), minimum)
 }
 
-// evenPart returns the part of the remainder that the pool may hold.
+// evenPart returns the part of the remainder that the pool may hold. An unlimited budget has none.
 func (p *Pool) evenPart(q *quota) fleet.Tokens {
+	if q.unlimited {
+		return 0
+	}
 	return p.remainder(q) / 1000 * fleet.Tokens(p.holdPerMille)
 }
 
--- a/lease/pool.go
+++ b/lease/pool.go
@@ -80,12 +80,15 @@
 	holdPerMille int64
 	// held is the set of metered budgets of which the holder keeps that part.
 	held map[fleet.BudgetID]bool
+	// unlimited is the set of metered budgets that have no total.
+	unlimited map[fleet.BudgetID]bool
 	// returned is set once all free quota was returned. A later change would overtake those that
 	// return it, and lease it again.
 	returned bool
 }
 
 type quota struct {
+	// free is negative while more is overdrawn than is on lease.
 	free     fleet.Tokens
 	reserved fleet.Tokens
 	seq      uint64
@@ -104,6 +107,8 @@
 	last        ledger.LeaseResult
 	// spent is the spending from a metered lease that has not been reported yet.
 	spent fleet.Tokens
+	// unlimited is set if the budget has no total.
+	unlimited bool
 	// changeRequested makes a change due although nothing was spent.
 	changeRequested bool
 	// borrowed is the part of free that other nodes lent, or that was drawn from a
@@ -132,6 +137,7 @@
 			rateAt:      now,
 			usedAt:      now,
 			requestedAt: -refillInterval,
+			unlimited:   p.unlimited[budget],
 		}
 		p.budgets[budget] = q
 	}
@@ -306,7 +312,10 @@
 func (p *Pool) newChange(id fleet.BudgetID, q *quota) *ledger.LeaseChange {
 	q.seq++
 	spent := q.spent
-	q.spent = 0
+	if p.cfg.Policy == PolicyMetered {
+		spent = q.reportable()
+	}
+	q.spent -= spent
 	return &ledger.LeaseChange{
 		Holder:        p.cfg.Holder,
 		Budget:        id,
@@ -359,7 +368,9 @@
 	var changes []ledger.LeaseChange
 	for _, id := range p.ids() {
 		q := p.budgets[id]
-		if q.pending != nil || q.free == 0 && q.spent == 0 {
+		if q.overdrawn() > 0 {
+			changes = append(changes, p.leaseOverdrawn(id, q)...)
+		} else if q.pending != nil || q.free == 0 && q.spent == 0 {
 			continue
 		}
 		change := p.newChange(id, q)
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -173,12 +173,13 @@
 			return nil, false
 		}
 		if drawn.Tokens == 0 {
-			return drawn.Shortage, true
+			return drawn.Shortage, !m.mayOverdraw(budget, drawn.Shortage)
 		}
 		drawnTokens = drawn.Tokens
 	}
 	m.Do(func() { m.pool.AddBorrowed(budget, drawnTokens, clock.SinceBoot()) })
-	return &Shortage{LedgerResponded: true}, true
+	shortage = &Shortage{LedgerResponded: true}
+	return shortage, !m.mayOverdraw(budget, shortage)
 }
 
 // ReserveOwn reserves quota from this node's own leases, requesting more from the ledger
@@ -202,9 +203,15 @@
 			}
 			return
 		}
-		if m.ledgerReachable != nil && !m.ledgerReachable() && !m.borrow(budget, amount) {
-			w.result <- &Shortage{LedgerUnreachable: true}
-			return
+		if m.ledgerReachable != nil && !m.ledgerReachable() {
+			if m.overdraw(budget, amount) {
+				w.result <- nil
+				return
+			}
+			if !m.borrow(budget, amount) {
+				w.result <- &Shortage{LedgerUnreachable: true}
+				return
+			}
 		}
 		m.waiting[budget] = append(m.waiting[budget], w)
 		m.updateNeed(budget)
@@ -318,6 +325,37 @@
 	})
 }
 
+// SetUnlimited sets the budgets without a total. It is called before SetHeldBudgets.
+func (m *Manager) SetUnlimited(budgets []fleet.BudgetID) {
+	m.Do(func() { m.pool.SetUnlimited(budgets) })
+}
+
+// overdraw reserves quota of an unlimited budget beyond the lease: a budget without a total refuses nothing, whatever can be
+// reached. It returns false for other budgets.
+func (m *Manager) overdraw(budget fleet.BudgetID, amount fleet.Tokens) bool {
+	if !m.pool.Unlimited(budget) {
+		return false
+	}
+	m.pool.Overdraw(budget, amount, clock.SinceBoot())
+	return true
+}
+
+// mayOverdraw reports whether a request that got no quota from the holders of a budget may get it otherwise, as the budget has no
+// total that this node or the ledger knows.
+func (m *Manager) mayOverdraw(budget fleet.BudgetID, shortage *Shortage) (may bool) {
+	if shortage != nil && shortage.Exhausted {
+		return false
+	}
+	m.DoAndWait(func() { may = m.pool.Unlimited(budget) })
+	return may
+}
+
+// Overdrawn returns the quota of unlimited budgets that was reserved or spent beyond the leases.
+func (m *Manager) Overdrawn() (tokens fleet.Tokens) {
+	m.DoAndWait(func() { tokens = m.pool.Overdrawn() })
+	return tokens
+}
+
 // SetHeldBudgets sets the budgets that the node holds, and the part of each one's
 // remainder, in per mille, that it may hold.
 func (m *Manager) SetHeldBudgets(perMille int64, budgets []fleet.BudgetID) {
@@ -364,6 +402,10 @@
 				kept = append(kept, w)
 				continue
 			}
+			if !w.ledgerResponded && m.overdraw(budget, w.amount) {
+				w.result <- nil
+				continue
+			}
 			w.result <- &Shortage{
 				LedgerResponded: w.ledgerResponded,
 				Last:            m.pool.LastResult(budget),
--- a/quota/waiting.go
+++ b/quota/waiting.go
@@ -89,6 +89,15 @@
 		delete(m.exhausted, budget)
 		return
 	}
+	if result.Unknown && m.pool.Unlimited(budget) {
+		// The ledger has said nothing of a total.
+		for _, w := range waiting {
+			m.overdraw(budget, w.amount)
+			w.result <- nil
+		}
+		m.setWaiting(budget, nil)
+		return
+	}
 	m.exhausted[budget] = exhaustion{
 		need: change.Need,
 		at:   clock.SinceBoot(),
--- a/routing/config.go
+++ b/routing/config.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,13 +48,24 @@
 	Limits       Limits `json:"limits"`
 }
 
-// ForEarlierVersions returns the configuration in a form that means the same to nodes which do not know KeysRequired: a
-// workspace without keys takes its place.
-func (c Config) ForEarlierVersions() Config {
+// ForEarlierVersions returns the configuration in a form that means the same to nodes of earlier versions, and whether it had to
+// be changed for that. A workspace without keys takes the place of KeysRequired. Workspaces without a total have no Prepaid:
+// such nodes would lease and, if they are killed, forfeit a part of UnlimitedPrepaid.
+func (c Config) ForEarlierVersions() (Config, bool) {
 	if c.KeysRequired {
 		c.Workspaces = []Workspace{{ID: "none"}}
+		return c, true
 	}
-	return c
+	if !slices.ContainsFunc(c.Workspaces, Workspace.Unlimited) {
+		return c, false
+	}
+	c.Workspaces = slices.Clone(c.Workspaces)
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Unlimited() {
+			c.Workspaces[i].Prepaid = nil
+		}
+	}
+	return c, true
 }
 
 // Route routes the requests to one host whose path begins with Prefix to services.
@@ -127,10 +139,20 @@
 	Keys []string          `json:"keys"`
 	// Priority overrides the route's priority if set.
 	Priority *int `json:"priority,omitempty"`
-	// Prepaid is the total amount that may be consumed, nil for no limit.
+	// Prepaid is the total amount that may be consumed, UnlimitedPrepaid if there is none: what is consumed is recorded all the
+	// same, as it counts against a total that comes later. It is nil in configurations of earlier versions that have no total, by
+	// which nothing is recorded.
 	Prepaid *fleet.Tokens `json:"prepaid,omitempty"`
 }
 
+// UnlimitedPrepaid is the total of a workspace that has none. No workspace consumes as much.
+const UnlimitedPrepaid fleet.Tokens = 1 << 53
+
+// Unlimited reports whether the workspace has a budget without a total.
+func (w Workspace) Unlimited() bool {
+	return w.Prepaid != nil && *w.Prepaid >= UnlimitedPrepaid
+}
+
 // Limits bounds the size of requests. A limit of 0 means no limit.
 type Limits struct {
 	HeaderBytes int   `json:"headerBytes,omitempty"`
