Broken answers and status 000 are no answers at the own interface either

A status of 000 was handed on as an answer; on routed requests the bytes behind such a head were read as the next one.

Cause: http.Transport sends and reads at the same time; the send took the error of the reset, and the read saw an ordinary end. Statuses were judged nowhere.

Change: backend.Client uses the connections of routed requests, which read nothing once a request could not be sent whole. They take only 200 to 599 for a response and 1xx but 101 for an interim one. A status from another node or a stored outcome is judged too.

--- a/backend/client.go
+++ b/backend/client.go
@@ -8,14 +8,12 @@
 	"errors"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,51 +27,72 @@
 // maxResponseBytes limits the response body of a plain service.
 const maxResponseBytes = 1 << 20
 
+// maxIdlePerServer limits the idle connections of a Client.
+const maxIdlePerServer = 256
+
 // Client sends requests to one backend server. It is safe for concurrent use.
+//
+// It uses the connections of routed requests, which read nothing once a request could not be sent whole. http.Transport sends and
+// reads at the same time: the send takes the error of a connection that the server resets, and the read then sees an ordinary end,
+// which makes a part of a response without a length look whole.
 type Client struct {
-	id        fleet.BackendServerID
-	base      string
-	transport *http.Transport
-	http      *http.Client
-	// noReuseHTTP opens a new connection for each call. It is used for calls that
-	// are not idempotent: an idle connection may be broken unnoticed, and a call
-	// sent over it would have an unknown outcome.
-	noReuseHTTP *http.Client
+	instance Instance
+	conns    *ConnPool
 }
 
-// NewClient returns a client for the server. Each client has its own connection pool,
+// NewClient returns a client for the server, whose address is valid. Each client has its own connection pool,
 // so that all idle connections to one server can be closed together.
 func NewClient(server catalog.BackendServer) *Client {
-	transport := &http.Transport{
-		DialContext:            newDialer().DialContext,
-		MaxIdleConnsPerHost:    256,
-		IdleConnTimeout:        30 * time.Second,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: DefaultLimits.HeadBytes,
-	}
-	noReuse := transport.Clone()
-	noReuse.DisableKeepAlives = true
-	return &Client{
-		id:          server.ID,
-		base:        "http://" + server.Address,
-		transport:   transport,
-		http:        &http.Client{Transport: transport},
-		noReuseHTTP: &http.Client{Transport: noReuse},
+	address, _ := netip.ParseAddrPort(server.Address)
+	c := &Client{
+		instance: Instance{
+			ID:      server.ID,
+			Address: address,
+		},
+		conns: NewConnPool(Limits{}),
 	}
+	c.conns.dialer = newDialer(dialTimeout, clientIdleProbe, clientUserTimeout)
+	c.conns.SetIdleLimits(map[Instance]int{c.instance: maxIdlePerServer})
+	return c
 }
 
-// newDialer returns the dialer of a Client.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     2 * time.Second,
-			Interval: time.Second,
-			Count:    2,
-		},
-		Control: TCPUserTimeout(clientUserTimeout),
-	}
+// clientRequest is one request of a Client.
+type clientRequest struct {
+	method string
+	target string
+	header http.Header
+	body   []byte
+	// once is set if the request needs a connection of its own: an idle one may be broken unnoticed, and a request
+	// sent over it would have an unknown outcome.
+	once bool
+}
+
+// send sends a request and reads the head of its response. An error is a *SendError.
+func (c *Client) send(ctx context.Context, r clientRequest) (*Incoming, error) {
+	if r.header == nil {
+		r.header = http.Header{}
+	}
+	if len(r.body) > 0 || r.method != http.MethodGet {
+		r.header.Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
+	return c.conns.Do(ctx, Outgoing{
+		Instance:   c.instance,
+		Method:     r.method,
+		Target:     r.target,
+		Host:       c.instance.Address.String(),
+		Header:     r.header,
+		Body:       r.body,
+		AtMostOnce: r.once,
+		NoReuse:    r.once,
+		Match:      func(int, http.Header) Match { return MatchOwn },
+	})
+}
+
+// finish ends an exchange whose body may have a rest that is not needed.
+func finish(in *Incoming) {
+	const maxRest = 4 << 10
+	n, err := io.CopyN(io.Discard, in.Body, maxRest)
+	in.Finish(err == io.EOF && n < maxRest)
 }
 
 // TCPUserTimeout returns a socket control function that sets TCP_USER_TIMEOUT: the
@@ -92,55 +111,38 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.CloseIdle()
 }
 
-// CloseIdle closes the idle connections. It is called when a connection to the same
-// server has stopped responding, since the idle ones may be broken as well.
+// CloseIdle closes the idle connections, and those in use when their requests end. It is called when a connection to the same
+// server has stopped responding, since the others may be broken as well.
 func (c *Client) CloseIdle() {
-	c.transport.CloseIdleConnections()
-}
-
-// sendTracker records whether a request got a connection, so that part of it may have
-// been sent.
-type sendTracker struct {
-	connected atomic.Bool
-	// reused is set if the connection had another request before.
-	reused atomic.Bool
-}
-
-func (s *sendTracker) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			s.connected.Store(true)
-			s.reused.Store(info.Reused)
-		},
-	})
+	c.conns.Retire(c.instance)
 }
 
 // owns reports whether a refusal is that of the request with an id, which the header name repeats. A
 // server may write an earlier refusal once more on a connection that is used again.
-func (s *sendTracker) owns(response *http.Response, name, id string) bool {
-	echoed := response.Header.Get(name)
-	return echoed == id || echoed == "" && !s.reused.Load()
+func owns(in *Incoming, name, id string) bool {
+	echoed := in.Header.Get(name)
+	return echoed == id || echoed == "" && !in.Reused
 }
 
-// requestError wraps the error of a request that got no response. Only a request that
-// got no connection is known not to have run.
-func (c *Client) requestError(step string, tracker *sendTracker, err error) error {
+// requestError wraps the error of a request that got no response. Only a request of which nothing was sent is known not to
+// have run.
+func (c *Client) requestError(step string, err error) error {
 	kind := interrupted(err)
-	if !tracker.connected.Load() {
+	if sendErr := (*SendError)(nil); errors.As(err, &sendErr) && !sendErr.Sent {
 		kind = ErrNotRun
 	}
-	return eris.Wrapf(kind, "backend server %s: %s: %v", c.id, step, err)
+	return eris.Wrapf(kind, "backend server %s: %s: %v", c.instance.ID, step, err)
 }
 
 // statusError returns the error for a response that refuses the request, classified by
 // its headers and status, with the start of its body as the cause. If the refusal may be another
 // request's, owned is false, and the request may run.
-func (c *Client) statusError(step string, response *http.Response, owned bool) error {
+func (c *Client) statusError(step string, response *Incoming, owned bool) error {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
-	_ = response.Body.Close()
+	finish(response)
 	kind := ErrInterrupted
 	switch {
 	case !owned:
@@ -148,10 +150,10 @@
 		kind = ErrDraining
 	case response.Header.Get(HeaderNotRun) == "true":
 		kind = ErrBusy
-	case response.StatusCode >= 400 && response.StatusCode < 500:
+	case response.Status >= 400 && response.Status < 500:
 		kind = ErrRejected
 	}
-	return eris.Wrapf(kind, "backend server %s: %s: status %d: %s", c.id, step, response.StatusCode, strings.TrimSpace(string(body)))
+	return eris.Wrapf(kind, "backend server %s: %s: status %d: %s", c.instance.ID, step, response.Status, strings.TrimSpace(string(body)))
 }
 
 // Stream is the streamed response of an engine.
@@ -159,7 +161,7 @@
 	client    *Client
 	attempt   string
 	cancel    context.CancelFunc
-	body      io.ReadCloser
+	response  *Incoming
 	chunks    chan Chunk
 	err       error
 	nextIndex int
@@ -179,33 +181,33 @@
 	chat.Stream = true
 	body, err := json.Marshal(chat)
 	if err != nil {
-		return nil, eris.Wrapf(ErrNotRun, "backend server %s: encode the chat: %v", c.id, err)
+		return nil, eris.Wrapf(ErrNotRun, "backend server %s: encode the chat: %v", c.instance.ID, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	tracker := &sendTracker{}
-	request, err := http.NewRequestWithContext(tracker.trace(ctx), http.MethodPost, c.base+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		cancel()
-		return nil, eris.Wrapf(ErrNotRun, "backend server %s: create the chat request: %v", c.id, err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(HeaderAttempt, attempt)
-	request.Header.Set(HeaderPriority, strconv.Itoa(priority))
-	response, err := c.doWithProbe(request, attempt, cancel)
+	response, err := c.sendWithProbe(ctx, cancel, attempt, clientRequest{
+		method: http.MethodPost,
+		target: "/v1/chat/completions",
+		header: http.Header{
+			"Content-Type": {"application/json"},
+			HeaderAttempt:  {attempt},
+			HeaderPriority: {strconv.Itoa(priority)},
+		},
+		body: body,
+	})
 	if err != nil {
 		cancel()
-		return nil, c.requestError("start the stream", tracker, err)
+		return nil, c.requestError("start the stream", err)
 	}
-	if response.StatusCode != http.StatusOK {
+	if response.Status != http.StatusOK {
 		defer cancel()
-		return nil, c.statusError("start the stream", response, c.ownsRefusal(ctx, tracker, response, attempt))
+		return nil, c.statusError("start the stream", response, c.ownsRefusal(ctx, response, attempt))
 	}
 	s := &Stream{
-		client:  c,
-		attempt: attempt,
-		cancel:  cancel,
-		body:    response.Body,
-		chunks:  make(chan Chunk, 16),
+		client:   c,
+		attempt:  attempt,
+		cancel:   cancel,
+		response: response,
+		chunks:   make(chan Chunk, 16),
 	}
 	if chat.Resume != nil {
 		s.nextIndex = chat.Resume.Tokens
@@ -216,19 +218,19 @@
 
 // ownsRefusal reports whether a refusal is that of an attempt. If the refusal does not say so, the engine
 // is asked whether it knows the attempt.
-func (c *Client) ownsRefusal(ctx context.Context, tracker *sendTracker, response *http.Response, attempt string) bool {
-	if tracker.owns(response, HeaderAttempt, attempt) {
+func (c *Client) ownsRefusal(ctx context.Context, response *Incoming, attempt string) bool {
+	if owns(response, HeaderAttempt, attempt) {
 		return true
 	}
 	state, err := c.Probe(ctx, attempt)
 	return err == nil && !state.Known
 }
 
-// doWithProbe sends a request. Until the response header arrives, it probes the server
+// sendWithProbe sends a request. Until the response header arrives, it probes the server
 // at an interval over other connections. It cancels the request if the probe fails, if
 // the server does not know the attempt, since then the request was lost on the way, or
 // if the server has produced tokens already, since then the response was lost.
-func (c *Client) doWithProbe(request *http.Request, attempt string, cancel context.CancelFunc) (*http.Response, error) {
+func (c *Client) sendWithProbe(ctx context.Context, cancel context.CancelFunc, attempt string, request clientRequest) (*Incoming, error) {
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -239,7 +241,7 @@
 			case <-done:
 				return
 			case <-ticker.C:
-				state, err := c.Probe(request.Context(), attempt)
+				state, err := c.Probe(ctx, attempt)
 				if err != nil || !state.Known || state.Tokens > 0 {
 					c.CloseIdle()
 					cancel()
@@ -248,14 +250,14 @@
 			}
 		}
 	}()
-	return c.http.Do(request)
+	return c.send(ctx, request)
 }
 
 // read parses the server-sent events until the stream ends.
 func (s *Stream) read() {
 	defer close(s.chunks)
-	defer func() { _ = s.body.Close() }()
-	reader := bufio.NewReaderSize(s.body, 8<<10)
+	defer s.response.Finish(false)
+	reader := bufio.NewReaderSize(s.response.Body, 8<<10)
 	for {
 		line, err := readLine(reader)
 		if err != nil {
@@ -309,13 +311,13 @@
 		select {
 		case chunk, ok := <-s.chunks:
 			if !ok {
-				return Chunk{}, eris.Wrapf(interrupted(s.err), "backend server %s: read the stream: %v", s.client.id, s.err)
+				return Chunk{}, eris.Wrapf(interrupted(s.err), "backend server %s: read the stream: %v", s.client.instance.ID, s.err)
 			}
 			if s.accept(chunk) {
 				return chunk, nil
 			}
 			if chunk.Attempt == s.attempt && chunk.Index > s.nextIndex {
-				return Chunk{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the stream: token %d is missing", s.client.id, s.nextIndex)
+				return Chunk{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the stream: token %d is missing", s.client.instance.ID, s.nextIndex)
 			}
 			lateChunks.Add(1)
 		case <-timer.C:
@@ -323,11 +325,11 @@
 			if err != nil || !state.Known || state.Finished || state.Tokens > s.nextIndex {
 				unresponsiveStreams.Add(1)
 				s.client.CloseIdle()
-				return Chunk{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the stream: stalled, and the probe did not confirm that the attempt waits for its next token", s.client.id)
+				return Chunk{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the stream: stalled, and the probe did not confirm that the attempt waits for its next token", s.client.instance.ID)
 			}
 			timer.Reset(stallProbeInterval)
 		case <-ctx.Done():
-			return Chunk{}, eris.Wrapf(ctx.Err(), "backend server %s: read the stream", s.client.id)
+			return Chunk{}, eris.Wrapf(ctx.Err(), "backend server %s: read the stream", s.client.instance.ID)
 		}
 	}
 }
@@ -387,19 +389,18 @@
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration, value any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return eris.Wrapf(err, "backend server %s: get %s", c.id, path)
-	}
-	response, err := c.http.Do(request)
+	response, err := c.send(ctx, clientRequest{
+		method: http.MethodGet,
+		target: path,
+	})
 	if err != nil {
-		return eris.Wrapf(err, "backend server %s: get %s", c.id, path)
+		return eris.Wrapf(err, "backend server %s: get %s", c.instance.ID, path)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("backend server %s: get %s: status %d", c.id, path, response.StatusCode)
+	defer finish(response)
+	if response.Status != http.StatusOK {
+		return eris.Errorf("backend server %s: get %s: status %d", c.instance.ID, path, response.Status)
 	}
-	return eris.Wrapf(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(value), "backend server %s: get %s: decode", c.id, path)
+	return eris.Wrapf(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(value), "backend server %s: get %s: decode", c.instance.ID, path)
 }
 
 // SendOrder sends an order to an engine. It returns false if the engine refuses the
@@ -409,24 +410,24 @@
 	defer cancel()
 	body, err := json.Marshal(order)
 	if err != nil {
-		return false, eris.Wrapf(err, "backend server %s: encode the order", c.id)
+		return false, eris.Wrapf(err, "backend server %s: encode the order", c.instance.ID)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/orders", bytes.NewReader(body))
-	if err != nil {
-		return false, eris.Wrapf(err, "backend server %s: send the order", c.id)
-	}
-	response, err := c.http.Do(request)
+	response, err := c.send(ctx, clientRequest{
+		method: http.MethodPost,
+		target: "/v1/orders",
+		body:   body,
+	})
 	if err != nil {
-		return false, eris.Wrapf(err, "backend server %s: send the order", c.id)
+		return false, eris.Wrapf(err, "backend server %s: send the order", c.instance.ID)
 	}
-	defer func() { _ = response.Body.Close() }()
-	switch response.StatusCode {
+	defer finish(response)
+	switch response.Status {
 	case http.StatusOK:
 		return true, nil
 	case http.StatusConflict:
 		return false, nil
 	}
-	return false, eris.Errorf("backend server %s: send the order: status %d", c.id, response.StatusCode)
+	return false, eris.Errorf("backend server %s: send the order: status %d", c.instance.ID, response.Status)
 }
 
 // Call is a call of a plain service.
@@ -450,41 +451,36 @@
 // Do makes a call. ErrNotRun, ErrBusy and ErrDraining mean that the call did not run.
 // After any other error it may have run.
 func (c *Client) Do(ctx context.Context, call Call) (CallResponse, error) {
-	tracker := &sendTracker{}
-	target := c.base + call.Path
+	target := (&url.URL{Path: call.Path}).EscapedPath()
 	if call.Query != "" {
 		target += "?" + call.Query
 	}
-	request, err := http.NewRequestWithContext(tracker.trace(ctx), call.Method, target, bytes.NewReader(call.Body))
-	if err != nil {
-		return CallResponse{}, eris.Wrapf(ErrNotRun, "backend server %s: create the call: %v", c.id, err)
-	}
-	request.Header.Set("Content-Type", call.ContentType)
-	// http.Transport retries a request that has an Idempotency-Key header on its
-	// own. It looks for the canonical spelling only, so the lower-case name prevents
-	// the retry, while servers ignore the case.
-	request.Header[headerRequestID] = []string{call.RequestID.String()}
-	client := c.noReuseHTTP
-	if call.Idempotent {
-		client = c.http
-	}
-	response, err := client.Do(request)
+	response, err := c.send(ctx, clientRequest{
+		method: call.Method,
+		target: target,
+		header: http.Header{
+			"Content-Type":  {call.ContentType},
+			headerRequestID: {call.RequestID.String()},
+		},
+		body: call.Body,
+		once: !call.Idempotent,
+	})
 	if err != nil {
-		return CallResponse{}, c.requestError("call", tracker, err)
+		return CallResponse{}, c.requestError("call", err)
 	}
 	if response.Header.Get(HeaderNotRun) == "true" {
-		return CallResponse{}, c.statusError("call", response, tracker.owns(response, headerRequestID, call.RequestID.String()))
+		return CallResponse{}, c.statusError("call", response, owns(response, headerRequestID, call.RequestID.String()))
 	}
-	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	response.Finish(err == nil && len(body) <= maxResponseBytes)
 	if err != nil {
-		return CallResponse{}, eris.Wrapf(interrupted(err), "backend server %s: read the response: %v", c.id, err)
+		return CallResponse{}, eris.Wrapf(interrupted(err), "backend server %s: read the response: %v", c.instance.ID, err)
 	}
 	if len(body) > maxResponseBytes {
-		return CallResponse{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the response: body exceeds %d bytes", c.id, maxResponseBytes)
+		return CallResponse{}, eris.Wrapf(ErrInterrupted, "backend server %s: read the response: body exceeds %d bytes", c.instance.ID, maxResponseBytes)
 	}
 	return CallResponse{
-		Status:      response.StatusCode,
+		Status:      response.Status,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
 	}, nil
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -82,6 +82,7 @@
 	// idleLimits is the maximum number of idle connections to each instance.
 	idleLimits map[Instance]int
 	observer   ConnectObserver
+	dialer     *net.Dialer
 }
 
 // ConnectObserver is told of the connects to instances.
@@ -98,6 +99,21 @@
 		idle:        map[Instance][]*Conn{},
 		retirements: map[Instance]int{},
 		idleLimits:  map[Instance]int{},
+		dialer:      newDialer(connectTimeout, time.Second, tcpUserTimeout),
+	}
+}
+
+// newDialer returns a dialer of connections to servers. An idle connection is probed after the given time.
+func newDialer(timeout, idle, userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     idle,
+			Interval: time.Second,
+			Count:    2,
+		},
+		Control: TCPUserTimeout(userTimeout),
 	}
 }
 
@@ -190,8 +206,9 @@
 			Err:     eris.Wrapf(err, "backend: %s at %s", out.Instance.ID, out.Instance.Address),
 		}
 	}
+	in.Reused = conn.reused
 	in.End = func(complete bool) {
-		if !stop() || !complete || !reusable || conn.reader.Buffered() > 0 {
+		if !stop() || !complete || !reusable || out.NoReuse || conn.reader.Buffered() > 0 {
 			_ = conn.conn.Close()
 			return
 		}
@@ -205,6 +222,9 @@
 // take returns an idle connection that is still usable, or a new one.
 func (c *ConnPool) take(ctx context.Context, out Outgoing) (*Conn, error) {
 	for {
+		if out.NoReuse {
+			return c.dial(ctx, out)
+		}
 		conn := c.pop(out.Instance)
 		if conn == nil {
 			return c.dial(ctx, out)
@@ -236,21 +256,11 @@
 }
 
 func (c *ConnPool) dial(ctx context.Context, out Outgoing) (*Conn, error) {
-	dialer := &net.Dialer{
-		Timeout: connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     time.Second,
-			Interval: time.Second,
-			Count:    2,
-		},
-		Control: TCPUserTimeout(tcpUserTimeout),
-	}
 	ended := func(error) {}
 	if c.observer != nil {
 		ended = c.observer.Connecting()
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", out.Instance.Address.String())
+	raw, err := c.dialer.DialContext(ctx, "tcp", out.Instance.Address.String())
 	if err != nil && ctx.Err() != nil {
 		ended(context.Canceled)
 	} else {
@@ -357,7 +367,13 @@
 	return err
 }
 
-// readHeader reads the head of the next response that is not an interim one.
+// FinalStatus reports whether a response that is not an interim one may have a status.
+func FinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
+// readHeader reads the head of the next response that is not an interim one. Nothing is read behind a head that is neither: the
+// bytes that follow may look like another response. No request asks for another protocol (101).
 func (c *Conn) readHeader(method string) (*http.Response, error) {
 	for range c.guard.limits.Interim + 1 {
 		c.guard.startHead()
@@ -366,8 +382,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 {
+		switch status := response.StatusCode; {
+		case FinalStatus(status):
 			return response, nil
+		case status < http.StatusContinue || status >= http.StatusOK || status == http.StatusSwitchingProtocols:
+			return nil, eris.Errorf("received a head with status %03d, which is no response to the request", status)
 		}
 	}
 	return nil, &OversizeError{
--- a/backend/message.go
+++ b/backend/message.go
@@ -20,6 +20,8 @@
 	// AtMostOnce is set if the request must not be sent again when its outcome is
 	// unknown.
 	AtMostOnce bool
+	// NoReuse is set if the request needs a connection of its own.
+	NoReuse bool
 	// Match compares a response with this request.
 	Match Matcher
 	// Revoked reports whether the request must no longer be sent to the instance. It is called
@@ -45,6 +47,8 @@
 	Length int64
 	// Framing is how the end of the body is marked.
 	Framing Framing
+	// Reused is set if the connection had another request before.
+	Reused bool
 	// End releases the connection. Finish calls it.
 	End func(complete bool)
 }
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -181,6 +181,8 @@
 // Timeouts of connections to backend servers.
 const (
 	dialTimeout = time.Second
+	// clientIdleProbe is the time without data after which a connection is probed.
+	clientIdleProbe = 2 * time.Second
 	// clientUserTimeout is the counterpart of tcpUserTimeout.
 	clientUserTimeout = 4 * time.Second
 	// stallProbeInterval is how long a stream may receive nothing until the server is
--- a/backend/silence_test.go
+++ b/backend/silence_test.go
@@ -69,7 +69,7 @@
 			return conn.conn
 		},
 		"own API": func(address string) net.Conn {
-			conn, err := newDialer().DialContext(context.Background(), "tcp", address)
+			conn, err := newDialer(dialTimeout, clientIdleProbe, clientUserTimeout).DialContext(context.Background(), "tcp", address)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/entry/service.go
+++ b/entry/service.go
@@ -213,6 +213,10 @@
 	if replayed {
 		header.Set(HeaderReplayed, "true")
 	}
+	if !backend.FinalStatus(response.Status) {
+		// Earlier versions stored such outcomes.
+		return r.refuse(unknownOutcome(http.StatusBadGateway, TypeBackendFailed, "the call may have run; what the backend server sent is no response").withCause(burn.CauseUnknownOutcome))
+	}
 	if !r.call.Idempotent && backend.PromisesNotRun(response.Status) {
 		refusal := unknownOutcome(http.StatusBadGateway, TypeBackendFailed, fmt.Sprintf("the call has run and the backend server responded with status %d", response.Status))
 		refusal.BilledTokens = billed
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -174,6 +174,13 @@
 		send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	case "fail":
 		send("HTTP/1.1 500 Internal Server Error\r\n" + id + "Content-Length: 4\r\n\r\nfail")
+	case "zero":
+		send("HTTP/1.1 000 None\r\n" + id + "Content-Length: 4\r\n\r\nnone")
+	case "zeroHead":
+		// The body of the first head looks like a response.
+		send("HTTP/1.1 000 None\r\n" + id + "\r\nHTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\nfake")
+	case "switch":
+		send("HTTP/1.1 101 Switching Protocols\r\n" + id + "\r\nHTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\nfake")
 	case "unsigned":
 		send("HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nContent-Length: 4\r\n\r\ndone")
 	case "truncate":
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -257,6 +257,8 @@
 		return nil, response.Refusal, nil
 	case response.Error != nil:
 		return failed(response.Error.err(r.node))
+	case !backend.FinalStatus(response.Status):
+		return failed(eris.Errorf("relayed by %s: a head with status %03d is no response", r.node, response.Status))
 	}
 	body := &relayedBody{
 		node: r.node,
