Parts of prompts whose requests crash servers together are suspended

Cause: for a part, crashes within 150 ms counted as one, whatever the number of servers, and five such moments were asked for before a header.

Change: from the second moment on, servers that had begun to respond or were gone count one by one, and four suspend the part. One moment never does, and what is completed in between clears the part, as before. What sufficed before still does.

--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -46,6 +46,8 @@
 	downUntil []time.Duration
 	flights   [][]*flight
 
+	// together is set if engines begin to respond to what they got at the same moment at once.
+	together bool
 	// plain is set for a service whose requests have no parts.
 	plain bool
 
@@ -135,7 +137,11 @@
 		s.arrivals = append(s.arrivals, s.now)
 	}
 	s.flights[f.engine] = append(s.flights[f.engine], f)
-	s.after(s.between(50*time.Millisecond, 500*time.Millisecond), func() { s.begin(f) })
+	wait := s.between(50*time.Millisecond, 500*time.Millisecond)
+	if s.together && deadly {
+		wait = 50 * time.Millisecond
+	}
+	s.after(wait, func() { s.begin(f) })
 }
 
 // begin lets the engine begin its response, on which it crashes if the request is deadly.
@@ -192,9 +198,19 @@
 	s.nodes[f.node].Crashed(crash, s.now)
 }
 
-// trouble lets engines crash on their own, or a node lose its connections to all engines.
-func (s *simulation) trouble(kind string) {
+// trouble lets engines crash on their own, or half of them at once, or a node lose its connections to all engines, or sends three
+// or more deadly requests at once, to any nodes or to one.
+func (s *simulation) trouble(kind string, subjects int) {
 	switch kind {
+	case "threes", "crowds":
+		s.together = true
+		for range map[string]int{"threes": 3, "crowds": 8}[kind] {
+			s.request(subjects, true)
+		}
+	case "halves":
+		for _, engine := range s.rng.Perm(len(s.flights))[:len(s.flights)/2] {
+			s.crash(engine)
+		}
 	case "crashes":
 		for range max(1, len(s.flights)/5) {
 			s.crash(s.rng.IntN(len(s.flights)))
@@ -254,7 +270,7 @@
 			s.request(subjects, s.rng.Float64() < share)
 		}
 		if s.now%(4*time.Second) == 0 {
-			s.trouble(trouble)
+			s.trouble(trouble, subjects)
 		}
 		for n := range s.nodes {
 			if s.notified[n] || s.now%heartbeat == 0 {
@@ -329,3 +345,9 @@
 	}
 	return numbers
 }
+
+// TestDeadlyPartInCrowds has the requests with a deadly part come eight at a time. More than five engines crash at one moment
+// then, which is not told from the crash of a rack before the next crowd comes.
+func TestDeadlyPartInCrowds(t *testing.T) {
+	playPattern(t, []string{"crowds", "8", "40", "60", "0", "96", "crowds"}, 0)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,11 +41,14 @@
 	// unbegunToSuspend is the number of crashes that suspends a part even if the engines had not
 	// begun to respond. Such a connection may also have been refused by a busy engine.
 	unbegunToSuspend = 5
+	// togetherToSuspend is the number of engines whose crashes, at two or more moments, suspend a part whose requests
+	// come together.
+	togetherToSuspend = 4
 	// enginesToSuspend is how many engines must have crashed: a single one that crashes again and
 	// again is broken itself.
 	enginesToSuspend = 2
-	// crashSpacing is the time within which broken responses count as one crash: nodes observe the
-	// same crash at slightly different times.
+	// crashSpacing is the time within which responses break at one moment: nodes observe the same crash at slightly
+	// different times.
 	crashSpacing = 150 * time.Millisecond
 	// objectionTime is how long a part is watched before it is suspended. It allows a round trip
 	// from a replica to all entry nodes and back.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -34,22 +34,39 @@
 
 // crash is one or more crashes at about the same time.
 type crash struct {
-	engines []fleet.BackendServerID
+	engines []crashedEngine
 	at      time.Duration
-	// begun is set if the engine had begun to respond.
-	begun bool
 	// later are the parts that follow in the prompts of the requests.
 	later []Key
 	// perEngine is set if crashes of different engines count as different ones, however close.
 	perEngine bool
 }
 
-// sameAs reports whether two crashes count as one.
+// crashedEngine is an engine of a crash.
+type crashedEngine struct {
+	id fleet.BackendServerID
+	// begun is set if the engine had begun to respond, gone if it refused connections afterwards.
+	begun, gone bool
+}
+
+// sameAs reports whether two crashes are at the same moment.
 func (c crash) sameAs(other crash) bool {
 	if (other.at - c.at).Abs() >= crashSpacing {
 		return false
 	}
-	return !c.perEngine || slices.Contains(other.engines, c.engines[0])
+	return !c.perEngine || other.engines[0].id == c.engines[0].id
+}
+
+// add adds an engine that crashed at the same moment. Nodes observe the crash of one engine each.
+func (c *crash) add(engine crashedEngine) {
+	i := slices.IndexFunc(c.engines, func(known crashedEngine) bool { return known.id == engine.id })
+	switch {
+	case i >= 0:
+		c.engines[i].begun = c.engines[i].begun || engine.begun
+		c.engines[i].gone = c.engines[i].gone || engine.gone
+	case len(c.engines) < togetherToSuspend:
+		c.engines = append(c.engines, engine)
+	}
 }
 
 // maxCrashes bounds the crashes that are kept of one part.
@@ -83,10 +100,13 @@
 		}
 		if at > r.soundAt {
 			r.addCrash(crash{
-				engines: []fleet.BackendServerID{e.Engine},
-				at:      at,
-				begun:   e.Begun,
-				later:   slices.Clone(later),
+				engines: []crashedEngine{{
+					id:    e.Engine,
+					begun: e.Begun,
+					gone:  e.Gone,
+				}},
+				at:    at,
+				later: slices.Clone(later),
 			})
 			t.judge(r, now)
 		}
@@ -116,9 +136,11 @@
 		return
 	}
 	r.addCrash(crash{
-		engines:   []fleet.BackendServerID{e.Engine},
+		engines: []crashedEngine{{
+			id:    e.Engine,
+			begun: e.Begun || e.Gone,
+		}},
 		at:        at,
-		begun:     e.Begun || e.Gone,
 		perEngine: true,
 	})
 	t.judge(r, now)
@@ -129,10 +151,7 @@
 	near := slices.IndexFunc(r.crashes, c.sameAs)
 	if near >= 0 {
 		known := &r.crashes[near]
-		known.begun = known.begun || c.begun
-		if len(known.engines) < enginesToSuspend {
-			known.engines = append(known.engines, c.engines...)
-		}
+		known.add(c.engines[0])
 		if len(known.later) < maxSuspects {
 			known.later = append(known.later, c.later...)
 		}
@@ -241,18 +260,28 @@
 	return rest
 }
 
-// suffices reports whether crashes are enough to suspend a part.
+// suffices reports whether crashes are enough to suspend a part: at enough moments, or of enough engines, since requests with the
+// part may come together. A single moment never suffices. A rack or a network may break many engines at once, and responses that
+// are completed before the next moment clear the part.
 func suffices(crashes []crash) bool {
-	begun, engines := 0, map[fleet.BackendServerID]bool{}
+	begun, certain, engines := 0, 0, map[fleet.BackendServerID]bool{}
 	for _, c := range crashes {
+		begins := false
 		for _, engine := range c.engines {
-			engines[engine] = true
+			engines[engine.id] = true
+			begins = begins || engine.begun
+			if engine.begun || engine.gone {
+				certain++
+			}
 		}
-		if c.begun {
+		if begins {
 			begun++
 		}
 	}
-	return len(engines) >= enginesToSuspend && (begun >= crashesToSuspend || len(crashes) >= unbegunToSuspend)
+	if len(engines) < enginesToSuspend {
+		return false
+	}
+	return begun >= crashesToSuspend || len(crashes) >= unbegunToSuspend || len(crashes) >= crashesToWatch && certain >= togetherToSuspend
 }
 
 // Advance applies what is due at time now. It reports whether the notices have changed since the
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -52,6 +52,8 @@
 			switch field {
 			case "unbegun":
 				e.Begun = false
+			case "gone":
+				e.Begun, e.Gone = false, true
 			case "sound":
 				sound = parseDuration(t, fields[i+1]).Milliseconds()
 			case "ago":
