An entry VM that starts with its clock behind stays in the fleet

What was seen (review/testdata/clock.toml): an entry VM whose clock shows an earlier time than at its last start says that its incarnation has ended in the ledger, and serves nobody from then on.

Cause: a control replica compared the ledger's number with the one in the first heartbeat of the subscription, which the clock had given. An update made just before the replica heard the new number had the same effect.

Change: a subscription has the number of the latest heartbeat, and a node takes only updates that answer a heartbeat sent since it has its number for word on its own end.

--- a/control/serve.go
+++ b/control/serve.go
@@ -168,7 +168,7 @@
 
 // subscriber is one entry node's subscription. The versions and numbers identify what was
 // last sent. They are accessed only by the goroutine that runs sendUpdates, or on its behalf
-// by the replica's goroutine; sendFull is accessed only by the replica's goroutine.
+// by the replica's goroutine; holder and sendFull are accessed only by the replica's goroutine.
 type subscriber struct {
 	holder         fleet.Holder
 	notify         chan struct{}
@@ -271,6 +271,7 @@
 			return
 		}
 		s.wholeRouting = s.wholeRouting || heartbeat.WholeRouting
+		s.setHolder(heartbeat.Report.Holder)
 		now := clock.SinceBoot()
 		node := heartbeat.Report.Holder.Node
 		heartbeat.Report.AgeMillis = 0
@@ -295,6 +296,15 @@
 	})
 }
 
+// setHolder sets the incarnation of the node. The ledger may number it only after the subscription has begun.
+func (s *subscriber) setHolder(holder fleet.Holder) {
+	if holder == s.holder {
+		return
+	}
+	s.holder = holder
+	s.sendFull = true
+}
+
 // applyEvidence judges the evidence of an entry node and the suspensions that it knows.
 func (r *Replica) applyEvidence(evidence []quarantine.Evidence, suspended []quarantine.Notice) {
 	now, before := clock.SinceBoot(), r.quarantine.Changes()
--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -137,9 +137,12 @@
 
 // Client is an entry node's connection to the control group.
 type Client struct {
-	cfg            Config
-	holder         atomic.Pointer[fleet.Holder]
-	joined         atomic.Bool
+	cfg    Config
+	holder atomic.Pointer[fleet.Holder]
+	joined atomic.Bool
+	// joinedAt is the time of the boot clock at which the holder's number was known. Heartbeats that were sent earlier
+	// may have another one.
+	joinedAt       atomic.Int64
 	handler        atomic.Pointer[Handler]
 	watcher        atomic.Pointer[Watcher]
 	quarantine     atomic.Pointer[Quarantine]
--- a/controlclient/submit.go
+++ b/controlclient/submit.go
@@ -157,6 +157,8 @@
 	}
 	holder.Incarnation = result.Incarnation
 	c.holder.Store(&holder)
+	c.joinedAt.Store(int64(clock.SinceBoot()))
 	c.joined.Store(true)
+	c.SendHeartbeat()
 	return nil
 }
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -240,6 +240,8 @@
 
 // heartbeat returns a heartbeat without what is sent only to the replica that the node follows.
 func (c *Client) heartbeat(probe bool) control.Heartbeat {
+	// Before the holder is read: an update that repeats a time is about the holder of then or a later one.
+	sent := clock.SinceBoot()
 	versions := c.knowledge.Load().versions()
 	report := c.cfg.Report()
 	report.Version = versions.Catalog
@@ -253,7 +255,7 @@
 		RoutingDeltas: true,
 		RoutingForm:   control.RoutingForm,
 		WholeRouting:  c.wholeWanted.Load(),
-		Sent:          int64(clock.SinceBoot()),
+		Sent:          int64(sent),
 	}
 }
 
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -20,7 +20,7 @@
 	if !update.Stale && !c.controlReachable.Swap(true) {
 		c.cfg.Log.Info(event.ControlConnected).Str("replica", address.String()).Msg("follows a control replica")
 	}
-	if update.Ended && c.joined.Load() && !c.rejected.Swap(true) {
+	if update.Ended && c.joined.Load() && c.concernsHolder(update) && !c.rejected.Swap(true) {
 		c.cfg.Log.Error(event.HolderRejected).Msg("this incarnation of the node has ended in the ledger; it stops serving requests")
 	}
 	if update.Leader.IsValid() {
@@ -61,6 +61,12 @@
 	}
 }
 
+// concernsHolder reports whether an update is about the incarnation that the ledger has numbered: it answers a heartbeat that was
+// sent since. Replicas of earlier versions do not say which one they answer.
+func (c *Client) concernsHolder(update control.Update) bool {
+	return update.Echo == 0 || update.Echo >= c.joinedAt.Load()
+}
+
 func (c *Client) routingVersion() routing.Version {
 	return c.knowledge.Load().versions().Routing
 }
