--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -17,6 +17,9 @@
 	name    string
 	prepaid int64
 	added   int64
+	// later is set if the first version has no total for the workspace. What it receives meanwhile counts against the one
+	// that comes.
+	later bool
 }{
 	{
 		name:    "plenty",
@@ -32,6 +35,11 @@
 		prepaid: 400_000,
 		added:   100_000,
 	},
+	{
+		name:    "late",
+		prepaid: 110_000,
+		later:   true,
+	},
 }
 
 func keyOf(workspace string) string { return "key-of-" + workspace }
@@ -144,11 +152,15 @@
 	}
 	var tenants []any
 	for _, ws := range workspaces {
-		tenants = append(tenants, map[string]any{
+		tenant := map[string]any{
 			"name":     ws.name,
 			"api_keys": []string{keyOf(ws.name)},
-			"prepaid":  o.prepaidTotals[ws.name],
-		})
+		}
+		// Builds of earlier revisions record nothing without a total.
+		if !ws.later || len(o.changes) > 0 || o.h.builds != nil {
+			tenant["prepaid"] = o.prepaidTotals[ws.name]
+		}
+		tenants = append(tenants, tenant)
 	}
 	text, err := json.Marshal(map[string]any{
 		"version": c.version,
