A replica that has just started no longer empties the roster

Look-ups, owners and shares of limits go by it.

Cause: a node that turns to another replica takes what this reports for the whole fleet, and a replica that has just started has heard few.

Change: nodes that the next replica has not reported stay for two heartbeat intervals; by then it has heard all, itself or through the others. Dead nodes leave the directory within 3 s also if their replica died with them.

--- a/controlclient/controlclient.go
+++ b/controlclient/controlclient.go
@@ -151,6 +151,9 @@
 	knowledge      atomic.Pointer[knowledge]
 	replicas       atomic.Pointer[[]netip.AddrPort]
 	reports        atomic.Pointer[[]roster.Report]
+	// carried has the nodes that the replica which the node follows has not reported, with the time since when. Only the
+	// goroutine that receives updates accesses it.
+	carried        map[fleet.NodeID]time.Duration
 	entryNodeCount atomic.Int64
 	// upNodes are the entry nodes that are up in the latest roster. It is owned by
 	// the goroutine that receives updates.
@@ -188,6 +191,7 @@
 	}
 	c.holder.Store(&cfg.Holder)
 	c.replicas.Store(&cfg.Replicas)
+	c.carried = map[fleet.NodeID]time.Duration{}
 	c.reports.Store(&[]roster.Report{})
 	c.leader.Store(&netip.AddrPort{})
 	c.knowledge.Store(&knowledge{catalog: catalog.NewView()})
--- a/controlclient/roster_test.go
+++ b/controlclient/roster_test.go
@@ -52,3 +52,23 @@
 		}
 	}
 }
+
+// TestNodeThatDiedWithItsReplicaStaysInRoster kills the replica that a node follows together with two nodes, of which the next
+// replica has never heard. Guards against dead nodes that are given to callers for longer than 3 s.
+func TestNodeThatDiedWithItsReplicaStaysInRoster(t *testing.T) {
+	silentSince := make(chan time.Time, 1)
+	next := newEndpoint(t, "next")
+	next.HandleChannel(control.MethodSubscribe, func(ctx context.Context, _ fleet.NodeID, ch *wire.Channel) {
+		for update := (control.Update{Roster: rosterOf(1)}); ctx.Err() == nil && ch.Send(update) == nil; time.Sleep(500 * time.Millisecond) {
+			update.Roster = nil
+		}
+	})
+	next.Start()
+	c := newTestClient(t, serveSilent(t, "killed", &control.Update{Roster: rosterOf(3)}, silentSince), next.Address())
+	since := <-silentSince
+	await(t, "whole roster", func() bool { return len(c.Roster()) == 3 })
+	await(t, "roster without the dead nodes", func() bool { return len(c.Roster()) == 1 })
+	if took := time.Since(since); took > 3*time.Second {
+		t.Errorf("got dead nodes in the roster for %s, want 3s at most", took.Round(time.Millisecond))
+	}
+}
--- a/controlclient/subscribe.go
+++ b/controlclient/subscribe.go
@@ -109,7 +109,7 @@
 		s:          s,
 		started:    time.Now(),
 		wholeSince: wholeSince,
-		known:      map[fleet.NodeID]roster.Report{},
+		known:      c.carryRoster(clock.SinceBoot()),
 	}
 	for _, update := range s.received {
 		f.apply(update)
--- a/controlclient/updates.go
+++ b/controlclient/updates.go
@@ -46,7 +46,7 @@
 	c.applyEvacuations(update.Evacuations)
 	c.applyRouting(update)
 	c.compareVersions(address, update)
-	if len(update.Roster) > 0 {
+	if c.dropCarried(known, clock.SinceBoot()) || len(update.Roster) > 0 {
 		c.applyRoster(update.Roster, known)
 	}
 	handler := c.handler.Load()
@@ -137,6 +137,7 @@
 func (c *Client) applyRoster(rows []roster.Report, known map[fleet.NodeID]roster.Report) {
 	for _, row := range rows {
 		known[row.Holder.Node] = row
+		delete(c.carried, row.Holder.Node)
 	}
 	reports := make([]roster.Report, 0, len(known))
 	for _, row := range known {
