--- a/gateway/charge_test.go
+++ b/gateway/charge_test.go
@@ -79,7 +79,7 @@
 }
 
 // post sends a request. Without a usage it does not say how large it is.
-func (g meteredGateway) post(t *testing.T, ctx context.Context, usage string) (*http.Response, error) {
+func (g meteredGateway) post(ctx context.Context, t *testing.T, usage string) (*http.Response, error) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+"/x", strings.NewReader("prompt"))
 	if err != nil {
@@ -129,7 +129,7 @@
 	in := newInstances(t, fields[3])
 	in.body = "HTTP/1.1 200 OK\r\nID" + strings.ReplaceAll(fields[4], "~", "\n")
 	g := newMeteredGateway(t, chargedRoute(fields[1]), fleet.Tokens(prepaid), in)
-	response, err := g.post(t, context.Background(), fields[2])
+	response, err := g.post(context.Background(), t, fields[2])
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,7 +184,7 @@
 			g := newMeteredGateway(t, chargedRoute(c.kind), 1000, in)
 			ctx, leave := context.WithCancel(context.Background())
 			defer leave()
-			response, err := g.post(t, ctx, "100,400")
+			response, err := g.post(ctx, t, "100,400")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/lease/unlimited_test.go
+++ b/lease/unlimited_test.go
@@ -173,7 +173,7 @@
 					c.deliver(i, rapid.IntRange(0, 3).Draw(t, "fault") == 0)
 				}
 			},
-			"lend": func(t *rapid.T) {
+			"lend": func(*rapid.T) {
 				from, to := c.nodes[node()], c.nodes[node()]
 				if from != to {
 					to.pool.AddBorrowed(testBudget, from.pool.Lend(testBudget, 300, c.now), c.now)
