--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -63,8 +63,8 @@
 	CauseInstanceBusy Cause = "instanceBusy"
 	// CauseInDoubt means that the request may have run but no response was received.
 	CauseInDoubt Cause = "inDoubt"
-	// CauseInstanceFailed means that an instance ran the request and responded with a 5xx
-	// status.
+	// CauseInstanceFailed means that an instance ran the request and responded with a 5xx status, or with one that would
+	// tell the caller of a request which may run once at most that it has not run.
 	CauseInstanceFailed Cause = "instanceFailed"
 	// CausePartSuspended means that engines have crashed on a part of the prompt.
 	CausePartSuspended Cause = "partSuspended"
